--- /dev/null
+++ b/cmake/targets.cmake
@@ -0,0 +1,21 @@
+# cornelquay_library(NAME USES lib... PRIVATE_USES lib...)
+# Declares the library of the current folder: sources in src/, public headers in include/.
+function(cornelquay_library NAME)
+    cmake_parse_arguments(ARG "" "" "USES;PRIVATE_USES" ${ARGN})
+    file(GLOB_RECURSE SOURCES CONFIGURE_DEPENDS src/*.cpp)
+    add_library(${NAME} STATIC ${SOURCES})
+    target_include_directories(${NAME} PUBLIC include PRIVATE src)
+    target_link_libraries(${NAME} PUBLIC ${ARG_USES} PRIVATE ${ARG_PRIVATE_USES} Threads::Threads)
+endfunction()
+
+# cornelquay_test(NAME USES lib...)
+# Declares the one test program of the current folder's library from tests/*.cpp.
+function(cornelquay_test NAME)
+    cmake_parse_arguments(ARG "" "" "USES" ${ARGN})
+    file(GLOB SOURCES CONFIGURE_DEPENDS tests/*.cpp)
+    add_executable(test_${NAME} ${SOURCES})
+    target_link_libraries(test_${NAME} PRIVATE ${NAME} ${ARG_USES} Boost::unit_test_framework Threads::Threads)
+    target_compile_definitions(test_${NAME} PRIVATE BOOST_TEST_MODULE=${NAME} SOURCE_FOLDER="${CMAKE_CURRENT_SOURCE_DIR}")
+    add_test(NAME ${NAME} COMMAND test_${NAME} --log_level=message --report_level=short)
+    set_tests_properties(${NAME} PROPERTIES TIMEOUT 300)
+endfunction()
--- /dev/null
+++ b/cornelquay/src/callerserver.cpp
@@ -0,0 +1,318 @@
+#include "details/callerserver.h"
+
+#include "details/httpserver.h"
+#include "details/keyring.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace Cornelquay::Details {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t RequestIdLengthMax = 128;
+constexpr int StatusOk = 200;
+constexpr int StatusUnavailable = 503;
+constexpr int StatusTooLarge = 413;
+constexpr int StatusUriTooLong = 414;
+constexpr int StatusNotFound = 404;
+
+NotRun invalid(std::string message)
+{
+    return {RefusalReason::InvalidRequest, std::move(message), 0ms};
+}
+
+bool isRequestId(const std::string &text)
+{
+    return !text.empty() && text.size() <= RequestIdLengthMax && std::all_of(text.begin(), text.end(), [](unsigned char c) {
+        return c > ' ' && c < 127;
+    });
+}
+
+template<typename Number>
+std::optional<Number> parseNumber(const std::string &text)
+{
+    Number number{};
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (text.empty() || error != std::errc() || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return number;
+}
+
+/** Reads the headers of one request into a WorkOrder; the first fault ends it. */
+class OrderReader
+{
+public:
+    OrderReader(const httplib::Request &request, const NodeSettings &settings)
+        : m_request(request)
+        , m_settings(settings)
+    {
+    }
+
+    tl::expected<WorkOrder, NotRun> read(std::string team)
+    {
+        WorkOrder order;
+        order.team = std::move(team);
+        order.service = m_request.matches[1];
+        order.requestId = m_request.get_header_value("Request-Id");
+        order.payload = m_request.body;
+        if (!isRequestId(order.requestId)) {
+            fail("Request-Id must be 1 to 128 visible ASCII characters");
+        }
+        order.idempotent = flag("Idempotent");
+        order.urgency = urgency();
+        order.deadline = deadline();
+        order.size = size();
+        if (m_fault) {
+            return tl::make_unexpected(*m_fault);
+        }
+        if (steadyNow() >= order.deadline) {
+            return tl::make_unexpected(NotRun{RefusalReason::DeadlinePassed, "the deadline has passed already", 0ms});
+        }
+        return order;
+    }
+
+private:
+    void fail(const std::string &message)
+    {
+        if (!m_fault) {
+            m_fault = invalid(message);
+        }
+    }
+
+    bool flag(const char *header)
+    {
+        const std::string text = m_request.get_header_value(header);
+        if (!text.empty() && text != "true" && text != "false") {
+            fail(std::string(header) + " must be true or false");
+        }
+        return text == "true";
+    }
+
+    Urgency urgency()
+    {
+        const std::string text = m_request.get_header_value("Urgency");
+        if (!text.empty() && text != "normal" && text != "urgent") {
+            fail("Urgency must be normal or urgent");
+        }
+        return text == "urgent" ? Urgency::Urgent : Urgency::Normal;
+    }
+
+    SteadyTime deadline()
+    {
+        const SteadyTime now = steadyNow();
+        const std::string text = m_request.get_header_value("Deadline");
+        if (text.empty()) {
+            return now + m_settings.deadlineDefault;
+        }
+        const std::optional<std::int64_t> unix = parseNumber<std::int64_t>(text);
+        const WallTime wall = wallNow();
+        if (!unix || *unix < 0 || *unix - toUnixMilliseconds(wall) > m_settings.deadlineMost.count()) {
+            fail("Deadline must be Unix milliseconds, at most " + std::to_string(m_settings.deadlineMost.count()) + " ms ahead");
+            return now;
+        }
+        return toSteady(fromUnixMilliseconds(*unix), wall, now);
+    }
+
+    std::optional<Resources> size()
+    {
+        const bool given = m_request.has_header("Cores") || m_request.has_header("Memory-Bytes") || m_request.has_header("Accelerators");
+        if (!given) {
+            return std::nullopt;
+        }
+        Resources size;
+        size.cores = amount<double>("Cores");
+        size.memoryBytes = amount<std::uint64_t>("Memory-Bytes");
+        size.accelerators = amount<double>("Accelerators");
+        return size;
+    }
+
+    template<typename Number>
+    Number amount(const char *header)
+    {
+        const std::string text = m_request.get_header_value(header);
+        const std::optional<Number> number = text.empty() ? Number{} : parseNumber<Number>(text);
+        if (!number || *number < 0) {
+            fail(std::string(header) + " must be a number that is not negative");
+        }
+        return number.value_or(Number{});
+    }
+
+    const httplib::Request &m_request;
+    const NodeSettings &m_settings;
+    std::optional<NotRun> m_fault;
+};
+
+std::string errorBody(const Outcome &outcome, const std::string &requestId)
+{
+    nlohmann::ordered_json body;
+    body["outcome"] = outcomeName(outcome);
+    if (const auto *notRun = std::get_if<NotRun>(&outcome)) {
+        body["reason"] = toName(notRun->reason);
+        body["message"] = notRun->message;
+        body["retry-after-ms"] = notRun->retryAfter.count();
+    } else if (const auto *unknown = std::get_if<OutcomeUnknown>(&outcome)) {
+        body["reason"] = "unknown";
+        body["message"] = unknown->message;
+    }
+    body["request-id"] = requestId;
+    return body.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace) + '\n';
+}
+
+void write(const Outcome &outcome, const std::string &requestId, httplib::Response &response)
+{
+    response.status = httpStatus(outcome);
+    response.set_header("Outcome", std::string(outcomeName(outcome)));
+    if (isRequestId(requestId)) {
+        response.set_header("Request-Id", requestId);
+    }
+    if (const auto *answered = std::get_if<Answered>(&outcome)) {
+        response.set_content(answered->body, answered->contentType.empty() ? "application/octet-stream" : answered->contentType);
+        return;
+    }
+    if (const auto *notRun = std::get_if<NotRun>(&outcome); notRun != nullptr && notRun->retryAfter > 0ms) {
+        response.set_header("Retry-After", std::to_string((notRun->retryAfter.count() + 999) / 1000));
+        response.set_header("Retry-After-Ms", std::to_string(notRun->retryAfter.count()));
+    }
+    response.set_content(errorBody(outcome, requestId), "application/json");
+}
+
+}
+
+struct CallerServer::Impl {
+    Impl(const NodeSettings &givenSettings, CallerServices givenServices, Metrics &givenMetrics)
+        : settings(givenSettings)
+        , services(std::move(givenServices))
+        , metrics(givenMetrics)
+        , http(settings.callers)
+        , answeredTotal(outcomeCounter("answered"))
+        , notRunTotal(outcomeCounter("not-run"))
+        , unknownTotal(outcomeCounter("unknown"))
+        , requestSeconds(metrics.latency("request_seconds", "Time from a request's arrival to its outcome"))
+    {
+    }
+
+    const NodeSettings settings;
+    const CallerServices services;
+    Metrics &metrics;
+    HttpServer http;
+    Counter answeredTotal;
+    Counter notRunTotal;
+    Counter unknownTotal;
+    LatencyHistogram requestSeconds;
+
+    Counter outcomeCounter(const std::string &outcome)
+    {
+        return metrics.counter("requests_total", "Requests by outcome", {{"outcome", outcome}});
+    }
+
+    Outcome serve(const httplib::Request &request);
+    void count(const Outcome &outcome);
+    void addHandlers();
+};
+
+Outcome CallerServer::Impl::serve(const httplib::Request &request)
+{
+    if (!services.isReady()) {
+        return NotRun{RefusalReason::Stopping, "the node is starting or stopping", 500ms};
+    }
+    if (!services.mayAcceptWork()) {
+        return NotRun{RefusalReason::StaleView, "the node cannot tell whether keys are still valid", 1000ms};
+    }
+    const std::optional<std::string> team = services.teamOfKey(bearerToken(request.get_header_value("Authorization")));
+    if (!team) {
+        return NotRun{RefusalReason::KeyInvalid, "the key is not valid", 0ms};
+    }
+    tl::expected<WorkOrder, NotRun> order = OrderReader(request, settings).read(*team);
+    if (!order) {
+        return order.error();
+    }
+    return services.run(*order);
+}
+
+void CallerServer::Impl::count(const Outcome &outcome)
+{
+    const std::array<Counter *, 3> counters{&answeredTotal, &notRunTotal, &unknownTotal};
+    counters[outcome.index()]->increment();
+}
+
+void CallerServer::Impl::addHandlers()
+{
+    httplib::Server &server = http.server();
+    server.set_payload_max_length(settings.payloadBytesMax);
+    server.Post("/v1/services/([A-Za-z0-9._-]+)/requests", [this](const httplib::Request &request, httplib::Response &response) {
+        const SteadyTime begun = steadyNow();
+        const Outcome outcome = serve(request);
+        write(outcome, request.get_header_value("Request-Id"), response);
+        count(outcome);
+        requestSeconds.observe(std::chrono::duration<double>(steadyNow() - begun).count());
+    });
+    server.Get("/health", [](const httplib::Request &, httplib::Response &response) {
+        response.set_content("ok\n", "text/plain");
+    });
+    server.Get("/ready", [this](const httplib::Request &, httplib::Response &response) {
+        const bool ready = services.isReady() && !http.isDraining();
+        response.status = ready ? StatusOk : StatusUnavailable;
+        response.set_content(ready ? "ready\n" : "not ready\n", "text/plain");
+    });
+    server.set_post_routing_handler([this](const httplib::Request &, httplib::Response &response) {
+        if (http.isDraining()) {
+            response.set_header("Connection", "close");
+        }
+    });
+    // Faults that the library finds before any handler is called.
+    server.set_error_handler([this](const httplib::Request &request, httplib::Response &response) {
+        if (!response.body.empty()) {
+            return;
+        }
+        NotRun notRun = invalid("the request is malformed");
+        if (response.status == StatusTooLarge || response.status == StatusUriTooLong) {
+            notRun = {RefusalReason::TooLarge, "the request is larger than " + std::to_string(settings.payloadBytesMax) + " bytes", 0ms};
+        } else if (response.status == StatusNotFound) {
+            notRun = {RefusalReason::UnknownService, "there is nothing at this path", 0ms};
+        }
+        write(notRun, request.get_header_value("Request-Id"), response);
+        count(notRun);
+    });
+}
+
+CallerServer::CallerServer(const NodeSettings &settings, CallerServices services, Metrics &metrics)
+    : m_impl(std::make_unique<Impl>(settings, std::move(services), metrics))
+{
+    m_impl->addHandlers();
+}
+
+CallerServer::~CallerServer() = default;
+
+bool CallerServer::isBound() const
+{
+    return m_impl->http.isBound();
+}
+
+std::uint16_t CallerServer::port() const
+{
+    return m_impl->http.port();
+}
+
+void CallerServer::start()
+{
+    m_impl->http.start();
+}
+
+void CallerServer::beginDrain()
+{
+    m_impl->http.beginDrain();
+}
+
+void CallerServer::stop()
+{
+    m_impl->http.stop();
+}
+
+}
--- /dev/null
+++ b/cornelquay/src/details/instancekeeper.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "platform/platformservice.h"
+#include "records/identifiers.h"
+#include "replica/replica.h"
+#include "upstream/upstreams.h"
+
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <thread>
+
+namespace Cornelquay::Details {
+
+/**
+ * Follows the platform's list: tells the upstreams who may take work, and proposes records for
+ * instances that are new, replaced, failed or back.
+ *
+ * All nodes see the same list; the members' order decides who proposes first, and the others only
+ * if nothing happens, so that the log is not filled with repeats. Created once per node.
+ */
+class InstanceKeeper
+{
+public:
+    InstanceKeeper(Replica &replica, PlatformService &platform, Upstreams &upstreams, Incarnation self, Metrics &metrics);
+    ~InstanceKeeper();
+    InstanceKeeper(const InstanceKeeper &) = delete;
+    InstanceKeeper &operator=(const InstanceKeeper &) = delete;
+
+    void start();
+    void stop();
+    /** Brings the upstreams up to date with the fleet's state and the list as last read. */
+    void refreshUpstreams();
+
+private:
+    /** A difference between list and records, and since when it is seen. */
+    struct Difference {
+        RecordBody proposal;
+        std::string reason;
+    };
+
+    void run();
+    bool readList();
+    std::map<std::string, Difference> differences() const;
+    void propose(const std::map<std::string, Difference> &differences);
+    int rank() const;
+
+    Replica &m_replica;
+    PlatformService &m_platform;
+    Upstreams &m_upstreams;
+    const Incarnation m_self;
+    mutable std::mutex m_mutex;
+    std::condition_variable m_wakeUp;
+    bool m_stopping = false;
+    bool m_listKnown = false;
+    std::map<std::string, ListedInstance> m_listed;
+    std::map<std::string, SteadyTime> m_firstSeen;
+    Counter m_listErrorsTotal;
+    std::thread m_thread;
+};
+
+}
--- /dev/null
+++ b/cornelquay/src/dispatcher.cpp
@@ -0,0 +1,318 @@
+#include "details/dispatcher.h"
+
+#include <algorithm>
+#include <random>
+#include <set>
+#include <thread>
+
+namespace Cornelquay::Details {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/** Attempts at most that may have run, for one request. */
+constexpr int RunAttemptsMax = 3;
+/** Attempts at most in all, counting those that provably did not run. */
+constexpr int AttemptsMax = 50;
+constexpr auto BackoffLeast = 5ms;
+constexpr auto BackoffMost = 200ms;
+constexpr auto ClaimTimeout = 3s;
+/** How long a bound request may stay unstarted before another sender ends the binding. */
+constexpr auto JoinPatience = 1s;
+constexpr auto JoinPollInterval = 20ms;
+/** Clocks of nodes and workers differ by less than this. */
+constexpr auto ClockSkewMax = 1s;
+
+double seconds(SteadyTime from, SteadyTime to)
+{
+    return std::chrono::duration<double>(to - from).count();
+}
+
+// Full jitter keeps retries of many threads apart.
+void backOff(int attempt, SteadyTime deadline)
+{
+    thread_local std::minstd_rand random(std::random_device{}());
+    const auto most = std::min<std::chrono::milliseconds>(BackoffMost, BackoffLeast * (1 << std::min(attempt, 6)));
+    std::uniform_int_distribution<std::int64_t> delay(1, most.count());
+    std::this_thread::sleep_until(std::min(deadline, steadyNow() + std::chrono::milliseconds(delay(random))));
+}
+
+AttemptResult attemptResult(const TaskOutcome &outcome)
+{
+    if (const auto *answered = std::get_if<TaskAnswered>(&outcome)) {
+        return answered->succeeded ? AttemptResult::Succeeded : AttemptResult::Failed;
+    }
+    if (const auto *notRun = std::get_if<TaskNotRun>(&outcome)) {
+        switch (notRun->reason) {
+        case NotRunReason::NoSlot:
+            return AttemptResult::NoSlot;
+        case NotRunReason::Unreachable:
+            return AttemptResult::Unreachable;
+        case NotRunReason::Leaving:
+        case NotRunReason::LeaseExpired:
+        case NotRunReason::Replaced:
+        case NotRunReason::Fenced:
+            return AttemptResult::Refused;
+        }
+    }
+    return AttemptResult::Unreachable;
+}
+
+Answered toAnswered(TaskAnswered answered)
+{
+    return {answered.succeeded, std::move(answered.body), std::move(answered.contentType)};
+}
+
+std::string taskIdOf(const ClaimKey &key, Offset boundAt)
+{
+    return toHex(key) + '-' + std::to_string(boundAt);
+}
+
+NotRun refusedBy(const AdmissionRefused &refused)
+{
+    switch (refused.reason) {
+    case AdmissionRefusal::QueueFull:
+    case AdmissionRefusal::TeamQueueFull:
+        return {RefusalReason::QueueFull, "the queue is full (" + std::string(toName(refused.reason)) + ')', refused.retryAfter};
+    case AdmissionRefusal::DeadlinePassed:
+        return {RefusalReason::DeadlinePassed, "the deadline passed before the request's turn", refused.retryAfter};
+    case AdmissionRefusal::Stopping:
+        break;
+    }
+    return {RefusalReason::Stopping, "the node is stopping", refused.retryAfter};
+}
+
+}
+
+Dispatcher::Dispatcher(Replica &replica,
+                       const ServiceTables &services,
+                       Admission &admission,
+                       Upstreams &upstreams,
+                       ClaimWriter &claims,
+                       RetryBudget &retries,
+                       std::function<bool()> mayRenew,
+                       Metrics &metrics)
+    : m_replica(replica)
+    , m_services(services)
+    , m_admission(admission)
+    , m_upstreams(upstreams)
+    , m_claims(claims)
+    , m_retries(retries)
+    , m_mayRenew(std::move(mayRenew))
+    , m_retriesTotal(metrics.counter("retries_total", "Attempts after the first one"))
+    , m_joinsTotal(metrics.counter("joined_requests_total", "Requests that were claimed by another sender before"))
+    , m_queueSeconds(metrics.latency("stage_seconds", "Time of each stage of a request", {{"stage", "queue"}}))
+    , m_claimSeconds(metrics.latency("stage_seconds", "Time of each stage of a request", {{"stage", "claim"}}))
+    , m_taskSeconds(metrics.latency("stage_seconds", "Time of each stage of a request", {{"stage", "task"}}))
+{
+}
+
+Outcome Dispatcher::run(const WorkOrder &order)
+{
+    const tl::expected<Target, NotRun> found = target(order);
+    if (!found) {
+        return found.error();
+    }
+    m_retries.noteRequest(order.service);
+    return order.idempotent ? runRepeatable(order, *found) : runOnce(order, *found);
+}
+
+tl::expected<Dispatcher::Target, NotRun> Dispatcher::target(const WorkOrder &order) const
+{
+    const std::shared_ptr<const ServiceTable> table = m_services.current();
+    const auto found = table->services.find(order.service);
+    if (found == table->services.end()) {
+        return tl::make_unexpected(NotRun{RefusalReason::UnknownService, "there is no service '" + order.service + "'", 0ms});
+    }
+    const ServiceEntry &service = found->second;
+    const Resources size = order.size.value_or(service.size);
+    if (service.pool.instances == 0) {
+        return tl::make_unexpected(NotRun{RefusalReason::NoCapacity, "pool '" + service.poolName + "' has no instances", 1000ms});
+    }
+    if (!fits(size, service.pool.largest)) {
+        const std::string message = "the work is larger than every instance of pool '" + service.poolName + "'";
+        return tl::make_unexpected(NotRun{RefusalReason::Impossible, message, 0ms});
+    }
+    return Target{service.poolName, dominantShare(size, service.pool.total)};
+}
+
+tl::expected<AdmissionTicket, NotRun> Dispatcher::enter(const WorkOrder &order, const Target &target)
+{
+    const SteadyTime entered = steadyNow();
+    auto ticket = m_admission.enter({order.team, target.pool, target.cost, order.urgency, order.deadline});
+    m_queueSeconds.observe(seconds(entered, steadyNow()));
+    if (!ticket) {
+        return tl::make_unexpected(refusedBy(ticket.error()));
+    }
+    return std::move(*ticket);
+}
+
+NotRun Dispatcher::noCapacity(const Target &target, const std::string &message) const
+{
+    return {RefusalReason::NoCapacity, message, m_admission.retryAfter(target.pool)};
+}
+
+SteadyTime Dispatcher::leaseEnd(const UpstreamSlot &slot) const
+{
+    return steadyNow() + slot.exchange->lease() + ClockSkewMax;
+}
+
+TaskOutcome Dispatcher::runTask(const WorkOrder &order, const AdmissionTicket &ticket, const std::string &taskId)
+{
+    const UpstreamSlot &slot = ticket.slot;
+    const SteadyTime begun = steadyNow();
+    WorkerReport report;
+    TaskOutcome outcome
+        = slot.exchange->run({taskId, order.requestId, order.team, order.service, order.payload, ticket.grantedAt, m_mayRenew}, order.deadline, report);
+    const SteadyTime ended = steadyNow();
+    m_upstreams.giveBack(slot, attemptResult(outcome), report, ended);
+    m_taskSeconds.observe(seconds(begun, ended));
+    return outcome;
+}
+
+// An idempotent request may run again elsewhere after a failure, within the retry budget.
+Outcome Dispatcher::runRepeatable(const WorkOrder &order, const Target &target)
+{
+    bool mayHaveRun = false;
+    int runAttempts = 0;
+    std::optional<Outcome> last;
+    for (int attempt = 0; attempt < AttemptsMax; ++attempt) {
+        auto ticket = enter(order, target);
+        if (!ticket) {
+            if (last) {
+                return *last;
+            }
+            return mayHaveRun ? Outcome(OutcomeUnknown{"an earlier attempt may have run"}) : Outcome(ticket.error());
+        }
+        TaskOutcome outcome = runTask(order, *ticket, toHex(newRecordId()));
+        const bool unknown = std::holds_alternative<TaskUnknown>(outcome);
+        // A task that may still run keeps its permit until its lease is over.
+        m_admission.leave(*ticket, unknown ? leaseEnd(ticket->slot) : SteadyTime());
+        if (auto *answered = std::get_if<TaskAnswered>(&outcome)) {
+            const bool succeeded = answered->succeeded;
+            last = toAnswered(std::move(*answered));
+            if (succeeded) {
+                return *last;
+            }
+        } else if (unknown) {
+            mayHaveRun = true;
+            last = OutcomeUnknown{std::get<TaskUnknown>(outcome).detail};
+        }
+        if (!std::holds_alternative<TaskNotRun>(outcome)) {
+            runAttempts += 1;
+            if (runAttempts >= RunAttemptsMax || !m_retries.take(order.service)) {
+                return *last;
+            }
+        }
+        m_retriesTotal.increment();
+        backOff(attempt, order.deadline);
+    }
+    return last.value_or(Outcome(noCapacity(target, "no instance took the work")));
+}
+
+// A request that is not idempotent is bound to one instance in the log before it is sent there.
+Outcome Dispatcher::runOnce(const WorkOrder &order, const Target &target)
+{
+    const ClaimKey key = claimKeyOf(order.team, order.requestId);
+    for (int attempt = 0; attempt < AttemptsMax; ++attempt) {
+        bool taken = false;
+        m_replica.query([&](const FleetState &state) {
+            taken = claimOf(state, key).has_value();
+        });
+        if (taken) {
+            bool startAgain = false;
+            Outcome outcome = join(order, key, startAgain);
+            if (!startAgain) {
+                return outcome;
+            }
+            continue;
+        }
+        auto ticket = enter(order, target);
+        if (!ticket) {
+            return ticket.error();
+        }
+        if (std::optional<Outcome> outcome = attemptOnce(order, key, *ticket)) {
+            return std::move(*outcome);
+        }
+        backOff(attempt, order.deadline);
+    }
+    return noCapacity(target, "no instance took the work");
+}
+
+/** One claim and one attempt; nothing if the request provably did not run and may be tried again. */
+std::optional<Outcome> Dispatcher::attemptOnce(const WorkOrder &order, const ClaimKey &key, const AdmissionTicket &ticket)
+{
+    const SteadyTime begun = steadyNow();
+    const ClaimResult claim = m_claims.claim({key, ticket.slot.instance, ticket.slot.incarnation}, std::min(order.deadline, begun + ClaimTimeout));
+    m_claimSeconds.observe(seconds(begun, steadyNow()));
+    const auto *bound = std::get_if<ClaimBound>(&claim);
+    if (bound == nullptr) {
+        m_upstreams.giveBack(ticket.slot, AttemptResult::Refused, {}, steadyNow());
+        m_admission.leave(ticket, SteadyTime());
+        if (std::holds_alternative<ClaimTaken>(claim)) {
+            return std::nullopt;
+        }
+        return NotRun{RefusalReason::ClaimUnavailable, "the log did not confirm that the request runs only once", 1000ms};
+    }
+    TaskOutcome outcome = runTask(order, ticket, taskIdOf(key, bound->boundAt));
+    const bool unknown = std::holds_alternative<TaskUnknown>(outcome);
+    m_admission.leave(ticket, unknown ? leaseEnd(ticket.slot) : SteadyTime());
+    if (auto *answered = std::get_if<TaskAnswered>(&outcome)) {
+        return toAnswered(std::move(*answered));
+    }
+    if (unknown) {
+        return OutcomeUnknown{std::get<TaskUnknown>(outcome).detail};
+    }
+    m_claims.release({key, bound->boundAt});
+    if (steadyNow() >= order.deadline) {
+        return NotRun{RefusalReason::DeadlinePassed, "the deadline passed before an instance took the work", 100ms};
+    }
+    m_retriesTotal.increment();
+    return std::nullopt;
+}
+
+// Another sender bound the request: its answer is fetched, or the binding is ended with proof.
+Outcome Dispatcher::join(const WorkOrder &order, const ClaimKey &key, bool &startAgain)
+{
+    m_joinsTotal.increment();
+    const SteadyTime patienceEnd = steadyNow() + JoinPatience;
+    while (true) {
+        std::optional<ClaimEntry> entry;
+        std::string instance;
+        m_replica.query([&](const FleetState &state) {
+            entry = claimOf(state, key);
+            instance = entry ? state.instanceNames[entry->instanceIndex] : std::string();
+        });
+        if (!entry) {
+            startAgain = true;
+            return OutcomeUnknown{};
+        }
+        const std::shared_ptr<TaskExchange> exchange = m_upstreams.exchange(instance, entry->instanceIncarnation);
+        if (!exchange) {
+            return OutcomeUnknown{"the instance that was to run the request is gone"};
+        }
+        WorkerReport report;
+        const std::string taskId = taskIdOf(key, entry->boundAt);
+        TaskOutcome outcome = exchange->attach(taskId, order.deadline, report);
+        const bool waitOver = steadyNow() >= std::min(patienceEnd, order.deadline);
+        if (std::holds_alternative<TaskNotRun>(outcome) && waitOver) {
+            outcome = exchange->end(taskId, order.deadline, report);
+        }
+        if (auto *answered = std::get_if<TaskAnswered>(&outcome)) {
+            return toAnswered(std::move(*answered));
+        }
+        if (const auto *unknown = std::get_if<TaskUnknown>(&outcome)) {
+            return OutcomeUnknown{unknown->detail};
+        }
+        if (std::get<TaskNotRun>(outcome).reason == NotRunReason::Fenced) {
+            m_claims.release({key, entry->boundAt});
+            if (steadyNow() >= order.deadline) {
+                return NotRun{RefusalReason::DeadlinePassed, "the deadline passed before the request was started", 100ms};
+            }
+        }
+        std::this_thread::sleep_until(std::min(order.deadline, steadyNow() + JoinPollInterval));
+    }
+}
+
+}
--- /dev/null
+++ b/cornelquay/src/fleetviews.cpp
@@ -0,0 +1,286 @@
+#include "details/fleetviews.h"
+
+#include "configuration/difference.h"
+#include "configuration/reader.h"
+
+#include <algorithm>
+
+namespace Cornelquay::Details {
+
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+Json auditEntryView(const AuditEntry &entry)
+{
+    Json line;
+    line["offset"] = entry.offset;
+    line["time-ms"] = entry.appendedAt;
+    line["who"] = entry.author;
+    line["kind"] = entry.kind;
+    line["subject"] = entry.subject;
+    line["from-version"] = entry.fromVersion;
+    line["accepted"] = entry.accepted;
+    line["why"] = entry.reason;
+    line["refusal"] = entry.refusal;
+    return line;
+}
+
+int countInState(const FleetState &state, const std::string &pool, InstanceState wanted)
+{
+    return static_cast<int>(std::count_if(state.instances.begin(), state.instances.end(), [&](const auto &entry) {
+        return entry.second.pool == pool && entry.second.state == wanted;
+    }));
+}
+
+Json instanceView(const std::string &name, const InstanceEntry &instance)
+{
+    Json line;
+    line["name"] = name;
+    line["incarnation"] = instance.incarnation;
+    line["pool"] = instance.pool;
+    line["state"] = toName(instance.state);
+    line["address"] = instance.address;
+    line["zone"] = instance.zone;
+    line["rack"] = instance.rack;
+    line["sequence"] = instance.sequence;
+    line["maintained-at-ms"] = instance.maintainedAt;
+    if (instance.state == InstanceState::PlannedOutage) {
+        line["purpose"] = toName(instance.purpose);
+        line["holder"] = instance.holder;
+        line["granted-at"] = instance.grantedAt;
+    }
+    return line;
+}
+
+std::string serviceRule(const FleetState &state, const Service &service)
+{
+    const int out = instancesOut(state, service.pool);
+    const int budget = poolBudget(*state.parsed, service.pool);
+    return "pool '" + service.pool + "' has " + std::to_string(out) + " instances out of a budget of " + std::to_string(budget)
+        + (out >= budget ? ": no planned outage is granted" : ": a planned outage may be granted");
+}
+
+std::string instanceRule(const InstanceEntry &instance)
+{
+    switch (instance.state) {
+    case InstanceState::InService:
+        return "it serves; nothing is planned";
+    case InstanceState::PlannedOutage:
+        return "it is out for " + std::string(toName(instance.purpose)) + " by the grant at offset " + std::to_string(instance.grantedAt);
+    case InstanceState::Failed:
+        return "it was found out of service and counts against its pool's budget";
+    case InstanceState::Arriving:
+        return "it was moved into its pool and does not serve there yet";
+    }
+    return {};
+}
+
+Json requestView(const FleetState &state, const std::string &subject)
+{
+    Json view;
+    for (const auto &[team, entry] : state.parsed->teams) {
+        const auto claim = state.claims.find(claimKeyOf(team, subject));
+        if (claim == state.claims.end()) {
+            continue;
+        }
+        view["team"] = team;
+        view["instance"] = state.instanceNames[claim->second.instanceIndex];
+        view["bound-at"] = claim->second.boundAt;
+        view["rule"] = claim->second.released ? "it provably did not run and may be bound again" : "it runs on this instance only";
+    }
+    return view;
+}
+
+}
+
+Json configurationView(const FleetState &state)
+{
+    Json view;
+    view["version"] = state.configuration.version;
+    view["changed-at"] = state.configuration.changedAt;
+    view["who"] = state.configuration.author;
+    view["text"] = state.configuration.text;
+    return view;
+}
+
+Json configurationHistoryView(const FleetState &state)
+{
+    Json view = Json::array();
+    for (const AuditEntry &entry : state.audit) {
+        if (entry.subject == "configuration") {
+            view.push_back(auditEntryView(entry));
+        }
+    }
+    return view;
+}
+
+Json keysView(const FleetState &state)
+{
+    Json view = Json::array();
+    for (const auto &[id, key] : state.keys) {
+        Json line;
+        line["id"] = id;
+        line["team"] = key.team;
+        line["granted-by"] = key.grantedBy;
+        line["granted-at-ms"] = key.grantedAt;
+        line["withdrawn"] = key.withdrawn;
+        view.push_back(std::move(line));
+    }
+    return view;
+}
+
+Json teamsView(const FleetState &state, const std::map<std::string, TeamLoad> &loads)
+{
+    Json view = Json::array();
+    for (const auto &[name, team] : state.parsed->teams) {
+        Json line;
+        line["name"] = name;
+        line["share"] = team.share;
+        line["limit"] = team.runningLimit;
+        line["limit-unassigned"] = unassignedLimit(state, name);
+        if (const auto load = loads.find(name); load != loads.end()) {
+            line["held-here"] = load->second.limits.held;
+            line["borrowed-here"] = load->second.limits.borrowed;
+            line["lent-here"] = load->second.limits.lent;
+            line["running-here"] = load->second.limits.running;
+            line["waiting-here"] = load->second.waiting;
+        }
+        view.push_back(std::move(line));
+    }
+    return view;
+}
+
+Json servicesView(const FleetState &state)
+{
+    Json view = Json::array();
+    for (const auto &[name, service] : state.parsed->services) {
+        Json line;
+        line["name"] = name;
+        line["pool"] = service.pool;
+        line["depends-on"] = service.dependsOn;
+        line["peak"] = service.peakInstances;
+        line["budget"] = service.availabilityBudget;
+        line["in-service"] = countInState(state, service.pool, InstanceState::InService);
+        line["out"] = instancesOut(state, service.pool);
+        view.push_back(std::move(line));
+    }
+    return view;
+}
+
+Json poolsView(const FleetState &state)
+{
+    Json view = Json::array();
+    for (const auto &[name, pool] : state.parsed->pools) {
+        Json line;
+        line["name"] = name;
+        line["spare"] = pool.spare;
+        for (const InstanceState instanceState : {InstanceState::InService, InstanceState::PlannedOutage, InstanceState::Failed, InstanceState::Arriving}) {
+            line[std::string(toName(instanceState))] = countInState(state, name, instanceState);
+        }
+        view.push_back(std::move(line));
+    }
+    return view;
+}
+
+Json instancesView(const FleetState &state, const std::vector<UpstreamStatus> &upstreams)
+{
+    Json view = Json::array();
+    for (const auto &[name, instance] : state.instances) {
+        Json line = instanceView(name, instance);
+        const auto status = std::find_if(upstreams.begin(), upstreams.end(), [&wanted = name](const UpstreamStatus &upstream) {
+            return upstream.instance.name == wanted;
+        });
+        if (status != upstreams.end()) {
+            line["accepts-work"] = status->instance.acceptsWork;
+            line["in-flight-here"] = status->inFlight;
+            line["ejected-here"] = status->ejected;
+        }
+        view.push_back(std::move(line));
+    }
+    return view;
+}
+
+Json maintenanceView(const FleetState &state)
+{
+    Json view;
+    view["paused"] = state.maintenancePaused;
+    view["period-hours"] = state.parsed->policy.maintenancePeriod.count();
+    view["out"] = Json::array();
+    for (const auto &[name, instance] : state.instances) {
+        if (instance.state == InstanceState::PlannedOutage) {
+            view["out"].push_back(instanceView(name, instance));
+        }
+    }
+    return view;
+}
+
+Json membersView(const FleetState &state)
+{
+    Json view = Json::array();
+    for (const auto &[name, member] : state.members) {
+        Json line;
+        line["name"] = name;
+        line["incarnation"] = member.incarnation;
+        line["zone"] = member.zone;
+        line["peer-address"] = member.peerAddress;
+        line["present"] = member.present;
+        view.push_back(std::move(line));
+    }
+    return view;
+}
+
+Json auditView(const FleetState &state, const std::string &subject, std::size_t countMax)
+{
+    Json view = Json::array();
+    for (auto entry = state.audit.rbegin(); entry != state.audit.rend() && view.size() < countMax; ++entry) {
+        if (subject.empty() || entry->subject == subject) {
+            view.push_back(auditEntryView(*entry));
+        }
+    }
+    std::reverse(view.begin(), view.end());
+    return view;
+}
+
+Json whyView(const FleetState &state, const std::string &subject)
+{
+    constexpr std::size_t RecordsMax = 20;
+    Json view;
+    view["subject"] = subject;
+    if (const auto instance = state.instances.find(subject); instance != state.instances.end()) {
+        view["kind"] = "instance";
+        view["now"] = instanceView(subject, instance->second);
+        view["rule"] = instanceRule(instance->second);
+    } else if (const auto service = state.parsed->services.find(subject); service != state.parsed->services.end()) {
+        view["kind"] = "service";
+        view["rule"] = serviceRule(state, service->second);
+    } else if (Json request = requestView(state, subject); !request.empty()) {
+        view["kind"] = "request";
+        view["now"] = std::move(request);
+    } else {
+        view["kind"] = "unknown";
+        view["rule"] = "no instance, service or claimed request has this name";
+    }
+    view["records"] = auditView(state, subject, RecordsMax);
+    return view;
+}
+
+Json differenceView(const FleetState &state, const std::string &text)
+{
+    const ReadConfiguration read = readConfiguration("configuration", text);
+    Json view;
+    view["base-version"] = state.configuration.version;
+    view["findings"] = Json::array();
+    for (const Finding &finding : read.findings.sorted()) {
+        view["findings"].push_back({{"line", finding.place.line}, {"column", finding.place.column}, {"problem", finding.problem}, {"remedy", finding.remedy}});
+    }
+    view["changes"] = Json::array();
+    if (read.findings.isEmpty()) {
+        for (const ConfigurationChange &change : difference(*state.parsed, read.configuration)) {
+            view["changes"].push_back({{"change", toName(change.kind)}, {"section", change.section}, {"name", change.name}, {"detail", change.detail}});
+        }
+    }
+    return view;
+}
+
+}
--- /dev/null
+++ b/cornelquay/src/limitkeeper.cpp
@@ -0,0 +1,182 @@
+#include "details/limitkeeper.h"
+
+#include <algorithm>
+
+namespace Cornelquay::Details {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto AdjustInterval = 200ms;
+constexpr auto ProposalTimeout = 2s;
+
+}
+
+PartChange decidePart(const PartSituation &situation)
+{
+    const std::int64_t members = std::max(1, situation.members);
+    const std::int64_t equalPart = (situation.limit + members - 1) / members;
+    const std::int64_t unused = situation.held - situation.lent - situation.running;
+    if (situation.unassigned < 0) {
+        // The limit was lowered below what is held: everyone gives up what is not in use.
+        return {-std::min(std::max<std::int64_t>(0, unused), -situation.unassigned)};
+    }
+    if (situation.unassigned > 0 && situation.held < equalPart) {
+        return {std::min(situation.unassigned, equalPart - situation.held)};
+    }
+    if (situation.unassigned == 0 && situation.held > equalPart && unused > 0 && situation.waiting == 0) {
+        return {-std::min(unused, situation.held - equalPart)};
+    }
+    return {0};
+}
+
+LimitKeeper::LimitKeeper(Replica &replica, Admission &admission, Incarnation self)
+    : m_replica(replica)
+    , m_admission(admission)
+    , m_self(std::move(self))
+{
+}
+
+LimitKeeper::~LimitKeeper()
+{
+    stop();
+}
+
+void LimitKeeper::start()
+{
+    m_thread = std::thread([this] {
+        run();
+    });
+}
+
+void LimitKeeper::stop()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    m_wakeUp.notify_all();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+void LimitKeeper::refreshPermits()
+{
+    const std::lock_guard lock(m_returnsMutex);
+    std::map<std::string, std::int64_t> held;
+    m_replica.query([&](const FleetState &state) {
+        const auto member = state.members.find(m_self.name);
+        const std::uint64_t sequence = member == state.members.end() ? 0 : member->second.limitSequence;
+        std::erase_if(m_pendingReturns, [&](const auto &entry) {
+            return entry.second.sequence <= sequence;
+        });
+        for (const auto &[team, entry] : state.parsed->teams) {
+            const auto pending = m_pendingReturns.find(team);
+            held[team] = heldLimit(state, m_self, team) - (pending == m_pendingReturns.end() ? 0 : pending->second.count);
+        }
+    });
+    m_admission.changeLimits([&](TeamLimits &limits) {
+        for (const auto &[team, count] : held) {
+            limits.setHeld(team, count);
+        }
+    });
+}
+
+void LimitKeeper::run()
+{
+    std::unique_lock lock(m_mutex);
+    while (!m_stopping) {
+        lock.unlock();
+        adjustParts();
+        lock.lock();
+        m_wakeUp.wait_for(lock, AdjustInterval, [&] {
+            return m_stopping;
+        });
+    }
+}
+
+void LimitKeeper::adjustParts()
+{
+    std::uint64_t sequence = 0;
+    for (const auto &[team, change] : wantedChanges(sequence)) {
+        sequence += 1;
+        if (!proposeChange(team, change.count, sequence)) {
+            break;
+        }
+    }
+    refreshPermits();
+}
+
+std::map<std::string, PartChange> LimitKeeper::wantedChanges(std::uint64_t &sequence) const
+{
+    const std::map<std::string, TeamLoad> loads = m_admission.teams();
+    std::map<std::string, PartChange> changes;
+    m_replica.query([&](const FleetState &state) {
+        if (!isPresent(state, m_self)) {
+            return;
+        }
+        sequence = state.members.at(m_self.name).limitSequence;
+        const auto members = std::count_if(state.members.begin(), state.members.end(), [](const auto &member) {
+            return member.second.present;
+        });
+        for (const auto &[team, entry] : state.parsed->teams) {
+            PartSituation situation;
+            situation.limit = entry.runningLimit;
+            situation.unassigned = unassignedLimit(state, team);
+            situation.held = heldLimit(state, m_self, team);
+            situation.members = static_cast<int>(members);
+            if (const auto load = loads.find(team); load != loads.end()) {
+                situation.running = load->second.limits.running;
+                situation.lent = load->second.limits.lent;
+                situation.waiting = static_cast<std::int64_t>(load->second.waiting);
+            }
+            if (const PartChange change = decidePart(situation); change.count != 0) {
+                changes[team] = change;
+            }
+        }
+    });
+    return changes;
+}
+
+/** Whether the log answered. */
+bool LimitKeeper::proposeChange(const std::string &team, std::int64_t count, std::uint64_t sequence)
+{
+    RecordBody body;
+    if (count > 0) {
+        body = LimitPartTaken{m_self.name, m_self.number, team, count, sequence};
+    } else {
+        const std::int64_t reserved = reserveReturn(team, -count, sequence);
+        if (reserved == 0) {
+            return true;
+        }
+        body = LimitPartReturned{m_self.name, m_self.number, team, reserved, sequence};
+    }
+    const ProposalOutcome outcome = m_replica.propose(std::move(body), m_self.name, "equal part of the team's limit", steadyNow() + ProposalTimeout);
+    if (std::holds_alternative<ProposalNotDone>(outcome)) {
+        const std::lock_guard lock(m_returnsMutex);
+        m_pendingReturns.erase(team);
+    }
+    return std::holds_alternative<ProposalFolded>(outcome);
+}
+
+// Permits are withheld here before the record makes them free for other nodes.
+std::int64_t LimitKeeper::reserveReturn(const std::string &team, std::int64_t count, std::uint64_t sequence)
+{
+    const std::lock_guard lock(m_returnsMutex);
+    if (m_pendingReturns.contains(team)) {
+        return 0;
+    }
+    std::int64_t reserved = 0;
+    m_admission.changeLimits([&](TeamLimits &limits) {
+        reserved = std::clamp<std::int64_t>(limits.available(team, steadyNow()), 0, count);
+        limits.setHeld(team, limits.status(steadyNow())[team].held - reserved);
+    });
+    if (reserved > 0) {
+        m_pendingReturns[team] = {reserved, sequence};
+    }
+    return reserved;
+}
+
+}
--- /dev/null
+++ b/cornelquay/src/node.cpp
@@ -0,0 +1,292 @@
+#include "cornelquay/node.h"
+
+#include "details/callerserver.h"
+#include "details/instancekeeper.h"
+#include "details/keyring.h"
+#include "details/limitkeeper.h"
+#include "details/operatorserver.h"
+#include "telemetry/log.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+
+namespace Cornelquay {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto JoinTimeout = 5s;
+constexpr auto LeaveTimeout = 3s;
+constexpr auto JoinCheckInterval = 200ms;
+
+// A later life of the same node has a larger number, also on a machine that keeps nothing.
+Incarnation newIncarnation(const std::string &name)
+{
+    return {name, static_cast<std::uint64_t>(toUnixMilliseconds(wallNow()))};
+}
+
+}
+
+struct Node::Impl {
+    explicit Impl(NodeSettings givenSettings);
+
+    const NodeSettings settings;
+    const Incarnation self;
+    Metrics metrics;
+    std::unique_ptr<Replica> replica;
+    PlatformService platform;
+    Upstreams upstreams;
+    Admission admission;
+    Details::ServiceTables services;
+    Details::RetryBudget retries;
+    Details::ClaimWriter claims;
+    Details::Dispatcher dispatcher;
+    Details::InstanceKeeper instances;
+    Details::LimitKeeper limits;
+    Details::CallerServer callers;
+    Details::OperatorServer operators;
+
+    std::mutex mutex;
+    std::condition_variable wakeUp;
+    std::atomic<bool> joined = false;
+    std::atomic<bool> stopping = false;
+    std::uint64_t refreshedRevision = 0;
+    std::thread joiner;
+
+    Details::ViewState viewState() const;
+    bool mayAcceptWork() const;
+    bool isReady() const;
+    void refresh();
+    void keepJoined();
+    void join();
+    Details::CallerServices callerServices();
+    Details::OperatorServices operatorServices();
+};
+
+Node::Impl::Impl(NodeSettings givenSettings)
+    : settings(std::move(givenSettings))
+    , self(newIncarnation(settings.name))
+    , replica(Replica::Builder()
+                  .readingFrom(HttpLog(settings.log))
+                  .appendingTo(HttpLog(settings.log))
+                  .author(settings.name)
+                  .snapshotEvery(settings.snapshotEvery)
+                  .metrics(metrics)
+                  .build())
+    , platform(settings.platform)
+    , upstreams(settings.upstream, self.number, metrics)
+    , admission(settings.admission, upstreams, metrics)
+    , retries(settings.retryFraction)
+    , claims(*replica, self, metrics)
+    , dispatcher(
+          *replica,
+          services,
+          admission,
+          upstreams,
+          claims,
+          retries,
+          [this] {
+              return mayAcceptWork();
+          },
+          metrics)
+    , instances(*replica, platform, upstreams, self, metrics)
+    , limits(*replica, admission, self)
+    , callers(settings, callerServices(), metrics)
+    , operators(settings, operatorServices())
+{
+    admission.setGate([this] {
+        return mayAcceptWork();
+    });
+}
+
+Details::ViewState Node::Impl::viewState() const
+{
+    return Details::judgeView(replica->condition(), replica->confirmedAt(), {}, steadyNow());
+}
+
+bool Node::Impl::mayAcceptWork() const
+{
+    return Details::isAllowed(Details::ViewAction::AcceptWork, viewState());
+}
+
+bool Node::Impl::isReady() const
+{
+    return joined && !stopping;
+}
+
+Details::CallerServices Node::Impl::callerServices()
+{
+    Details::CallerServices result;
+    result.teamOfKey = [this](const std::string &key) {
+        std::optional<std::string> team;
+        replica->query([&](const FleetState &state) {
+            team = Details::teamOfKey(state, key);
+        });
+        return team;
+    };
+    result.mayAcceptWork = [this] {
+        return mayAcceptWork();
+    };
+    result.run = [this](const Details::WorkOrder &order) {
+        return dispatcher.run(order);
+    };
+    result.isReady = [this] {
+        return joined.load();
+    };
+    return result;
+}
+
+Details::OperatorServices Node::Impl::operatorServices()
+{
+    Details::OperatorServices result;
+    result.replica = replica.get();
+    result.admission = &admission;
+    result.upstreams = &upstreams;
+    result.metrics = &metrics;
+    result.self = self;
+    result.viewState = [this] {
+        return viewState();
+    };
+    result.peerOffsets = [] {
+        return std::map<std::string, Offset>();
+    };
+    result.isReady = [this] {
+        return isReady();
+    };
+    return result;
+}
+
+// Called by the folding thread after each change.
+void Node::Impl::refresh()
+{
+    Details::ServiceTable table;
+    std::shared_ptr<const Configuration> configuration;
+    bool changed = false;
+    replica->query([&](const FleetState &state) {
+        changed = state.revision != refreshedRevision;
+        if (changed) {
+            refreshedRevision = state.revision;
+            table = Details::makeServiceTable(state);
+            configuration = state.parsed;
+        }
+    });
+    if (!changed) {
+        return;
+    }
+    services.replace(std::move(table));
+    admission.configure(*configuration);
+    limits.refreshPermits();
+    instances.refreshUpstreams();
+}
+
+// A node that others took for dead joins again under the same incarnation's successor rules: it
+// must be replaced, so here only the first join is repeated until it stands.
+void Node::Impl::keepJoined()
+{
+    std::unique_lock lock(mutex);
+    while (!stopping && !joined) {
+        lock.unlock();
+        join();
+        lock.lock();
+        wakeUp.wait_for(lock, JoinCheckInterval, [&] {
+            return stopping || joined;
+        });
+    }
+}
+
+void Node::Impl::join()
+{
+    if (!replica->waitUntilReady(steadyNow() + JoinCheckInterval)) {
+        return;
+    }
+    const NodeJoined body{self.name, self.number, toText(settings.peerAddress), settings.zone};
+    replica->propose(body, self.name, "started", steadyNow() + JoinTimeout);
+    bool present = false;
+    replica->query([&](const FleetState &state) {
+        present = isPresent(state, self);
+    });
+    if (present) {
+        joined = true;
+        logChange("node", "joined", {{"incarnation", std::to_string(self.number)}});
+    }
+}
+
+Node::Builder &Node::Builder::settings(NodeSettings settings)
+{
+    m_settings = std::move(settings);
+    return *this;
+}
+
+tl::expected<std::unique_ptr<Node>, std::string> Node::Builder::build()
+{
+    std::unique_ptr<Node> node(new Node(std::move(m_settings)));
+    if (!node->m_impl->callers.isBound()) {
+        return tl::make_unexpected("the callers' address " + toText(node->m_impl->settings.callers.address) + " cannot be bound");
+    }
+    if (!node->m_impl->operators.isBound()) {
+        return tl::make_unexpected("the operators' address " + toText(node->m_impl->settings.operators.address) + " cannot be bound");
+    }
+    return node;
+}
+
+Node::Node(NodeSettings settings)
+    : m_impl(std::make_unique<Impl>(std::move(settings)))
+{
+}
+
+Node::~Node() = default;
+
+void Node::start()
+{
+    m_impl->replica->onChange([this] {
+        m_impl->refresh();
+    });
+    m_impl->replica->start();
+    m_impl->instances.start();
+    m_impl->limits.start();
+    m_impl->operators.start();
+    m_impl->callers.start();
+    m_impl->joiner = std::thread([this] {
+        m_impl->keepJoined();
+    });
+}
+
+void Node::stop()
+{
+    logChange("node", "stopping");
+    m_impl->stopping = true;
+    m_impl->callers.beginDrain();
+    m_impl->wakeUp.notify_all();
+    m_impl->joiner.join();
+    {
+        std::unique_lock lock(m_impl->mutex);
+        m_impl->wakeUp.wait_for(lock, m_impl->settings.drainDelay, [] {
+            return false;
+        });
+    }
+    m_impl->callers.stop();
+    m_impl->limits.stop();
+    m_impl->instances.stop();
+    m_impl->claims.stop();
+    if (m_impl->joined) {
+        m_impl->replica->propose(NodeLeft{m_impl->self.name, m_impl->self.number}, m_impl->self.name, "stopped", steadyNow() + LeaveTimeout);
+    }
+    m_impl->operators.stop();
+    m_impl->replica->stop();
+    logChange("node", "stopped");
+}
+
+std::uint16_t Node::callerPort() const
+{
+    return m_impl->callers.port();
+}
+
+std::uint16_t Node::operatorPort() const
+{
+    return m_impl->operators.port();
+}
+
+}
--- /dev/null
+++ b/cornelquay/src/nodesettings.cpp
@@ -0,0 +1,150 @@
+#include "cornelquay/nodesettings.h"
+
+#include "settings/document.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace Cornelquay {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t TokenHashDigits = 64;
+constexpr std::size_t PeerSecretLengthLeast = 16;
+constexpr std::int64_t ThreadsMax = 4096;
+constexpr std::int64_t WaitingMax = 100000;
+constexpr std::uint64_t PayloadMost = 64ULL << 20;
+constexpr std::int64_t SnapshotEveryMost = 1000000;
+
+Address readAddress(const Element &element)
+{
+    const std::string text = element.text();
+    const std::optional<Address> address = parseAddress(text);
+    if (element.isPresent() && !address) {
+        element.report("'" + text + "' is not an address", "write an IP number and a port, such as 127.0.0.1:7001");
+    }
+    return address.value_or(Address{});
+}
+
+TlsFiles readTls(const Element &element)
+{
+    element.allowKeys({"certificate", "key"});
+    if (!element.isPresent()) {
+        return {};
+    }
+    return {element.child("certificate").text(), element.child("key").text()};
+}
+
+ListenerSettings readListener(const Element &element, std::int64_t threads)
+{
+    element.allowKeys({"address", "threads", "tls", "plain"});
+    ListenerSettings listener;
+    listener.address = readAddress(element.child("address"));
+    listener.threads = static_cast<std::size_t>(element.child("threads", Presence::Optional).integer(1, ThreadsMax, threads));
+    listener.tls = readTls(element.child("tls", Presence::Optional));
+    const bool plain = element.child("plain", Presence::Optional).boolean(false);
+    if (element.isPresent() && plain == !listener.tls.certificate.empty()) {
+        element.report("it must be said whether the listener is encrypted", "give either 'tls' or 'plain: true'");
+    }
+    return listener;
+}
+
+OperatorAccount readOperator(const Element &element)
+{
+    element.allowKeys({"name", "token-sha256"});
+    OperatorAccount account;
+    account.name = element.child("name").name();
+    const Element hash = element.child("token-sha256");
+    account.tokenSha256 = hash.text();
+    const bool isHex = std::all_of(account.tokenSha256.begin(), account.tokenSha256.end(), [](unsigned char c) {
+        return std::isdigit(c) != 0 || (c >= 'a' && c <= 'f');
+    });
+    if (hash.isPresent() && (account.tokenSha256.size() != TokenHashDigits || !isHex)) {
+        hash.report("not a SHA-256", "write 64 lower-case hexadecimal digits");
+    }
+    return account;
+}
+
+void readLimits(const Element &element, NodeSettings &settings)
+{
+    element.allowKeys({"waiting", "waiting-per-team", "payload", "slots-per-instance", "connections-per-instance", "ejected-fraction", "retry-fraction"});
+    settings.admission.waitingMax = static_cast<std::size_t>(element.child("waiting", Presence::Optional).integer(1, WaitingMax, 1000));
+    settings.admission.waitingPerTeamMax = static_cast<std::size_t>(element.child("waiting-per-team", Presence::Optional).integer(1, WaitingMax, 400));
+    settings.payloadBytesMax = element.child("payload", Presence::Optional).bytes(1, PayloadMost, settings.payloadBytesMax);
+    UpstreamLimits &upstream = settings.upstream;
+    upstream.slotsPerInstance = static_cast<int>(element.child("slots-per-instance", Presence::Optional).integer(1, 1024, upstream.slotsPerInstance));
+    upstream.connectionsPerInstance = static_cast<std::size_t>(element.child("connections-per-instance", Presence::Optional).integer(1, 64, 64));
+    upstream.ejectedFractionMax = element.child("ejected-fraction", Presence::Optional).fraction(upstream.ejectedFractionMax);
+    settings.retryFraction = element.child("retry-fraction", Presence::Optional).fraction(settings.retryFraction);
+}
+
+void readTimes(const Element &element, NodeSettings &settings)
+{
+    element.allowKeys({"deadline-default", "deadline-most", "drain-delay", "upstream-silence", "task-lease"});
+    settings.deadlineDefault = element.child("deadline-default", Presence::Optional).duration(1ms, 1h, settings.deadlineDefault);
+    settings.deadlineMost = element.child("deadline-most", Presence::Optional).duration(1ms, 1h, settings.deadlineMost);
+    settings.drainDelay = element.child("drain-delay", Presence::Optional).duration(0ms, 10min, settings.drainDelay);
+    ExchangeLimits &exchange = settings.upstream.exchange;
+    exchange.silence = element.child("upstream-silence", Presence::Optional).duration(10ms, 1min, exchange.silence);
+    exchange.lease = element.child("task-lease", Presence::Optional).duration(1s, 15s, exchange.lease);
+}
+
+std::string readPeerSecret(const Element &element)
+{
+    std::string secret = element.text();
+    if (element.isPresent() && secret.size() < PeerSecretLengthLeast) {
+        element.report("the secret is too short", "use at least 16 random characters, the same on all nodes");
+    }
+    return secret;
+}
+
+}
+
+ReadNodeSettings readNodeSettings(const std::string &fileName, const std::string &text)
+{
+    Document document(fileName, text);
+    const Element root = document.root();
+    root.allowKeys({"name",
+                    "zone",
+                    "callers",
+                    "operators-listener",
+                    "peer-address",
+                    "peers",
+                    "peer-secret",
+                    "log",
+                    "platform",
+                    "operators",
+                    "limits",
+                    "times",
+                    "snapshot-every",
+                    "log-format"});
+    NodeSettings settings;
+    settings.name = root.child("name").name();
+    settings.zone = root.child("zone").name();
+    settings.callers = readListener(root.child("callers"), 256);
+    settings.operators = readListener(root.child("operators-listener"), 16);
+    settings.peerAddress = readAddress(root.child("peer-address"));
+    for (const Element &peer : root.child("peers", Presence::Optional).items()) {
+        settings.peers.push_back(readAddress(peer));
+    }
+    settings.peerSecret = readPeerSecret(root.child("peer-secret"));
+    settings.log = readAddress(root.child("log"));
+    settings.platform = readAddress(root.child("platform"));
+    for (const Element &account : root.child("operators", Presence::Optional).items()) {
+        settings.operatorAccounts.push_back(readOperator(account));
+    }
+    readLimits(root.child("limits", Presence::Optional), settings);
+    readTimes(root.child("times", Presence::Optional), settings);
+    settings.snapshotEvery = static_cast<std::uint64_t>(root.child("snapshot-every", Presence::Optional).integer(10, SnapshotEveryMost, 2000));
+    const Element format = root.child("log-format", Presence::Optional);
+    const std::string formatName = format.text("text");
+    if (formatName != "text" && formatName != "json") {
+        format.report("'" + formatName + "' is not a log format", "write text or json");
+    }
+    settings.logFormat = formatName == "json" ? LogFormat::Json : LogFormat::Text;
+    return {std::move(settings), std::move(document.findings())};
+}
+
+}
--- /dev/null
+++ b/cornelquay/src/viewpolicy.cpp
@@ -0,0 +1,44 @@
+#include "details/viewpolicy.h"
+
+#include <array>
+
+namespace Cornelquay::Details {
+
+bool isAllowed(ViewAction action, ViewState state)
+{
+    switch (state) {
+    case ViewState::Fresh:
+        return true;
+    case ViewState::LogDown:
+        // Nothing can be withdrawn while no one reaches the log, so good keys stay good.
+        return action == ViewAction::AcceptWork;
+    case ViewState::Stale:
+    case ViewState::None:
+        break;
+    }
+    return false;
+}
+
+std::string_view toName(ViewState state)
+{
+    constexpr std::array<std::string_view, 4> Names{"fresh", "log-down", "stale", "none"};
+    return Names[static_cast<std::size_t>(state)];
+}
+
+ViewState judgeView(ReplicaCondition condition, SteadyTime confirmedAt, const PeerView &peers, SteadyTime now)
+{
+    if (condition != ReplicaCondition::Ready || confirmedAt == SteadyTime()) {
+        return ViewState::None;
+    }
+    if (now - confirmedAt <= ViewAgeMax) {
+        return ViewState::Fresh;
+    }
+    const int all = peers.members + 1;
+    const int together = peers.reachable + 1;
+    if (peers.readingLog == 0 && 2 * together > all) {
+        return ViewState::LogDown;
+    }
+    return ViewState::Stale;
+}
+
+}
--- /dev/null
+++ b/libs/fleet/src/claimfold.cpp
@@ -0,0 +1,67 @@
+#include "details/folds.h"
+
+namespace Cornelquay::Details {
+
+namespace {
+
+std::uint32_t instanceIndex(FleetState &state, const std::string &instance)
+{
+    const auto [found, inserted] = state.instanceNameIndexes.emplace(instance, static_cast<std::uint32_t>(state.instanceNames.size()));
+    if (inserted) {
+        state.instanceNames.push_back(instance);
+    }
+    return found->second;
+}
+
+bool bind(FleetState &state, const Claim &claim, const Place &place)
+{
+    if (claimOf(state, claim.key)) {
+        return false;
+    }
+    if (state.claims.size() >= ClaimsMax && !state.claims.contains(claim.key)) {
+        return false;
+    }
+    const std::int64_t expiresAt = place.appendedAt + ClaimRetentionMilliseconds;
+    state.claims[claim.key] = {place.offset, expiresAt, claim.instanceIncarnation, instanceIndex(state, claim.instance), false};
+    state.claimExpiries.emplace_back(expiresAt, claim.key);
+    return true;
+}
+
+}
+
+void expireClaims(FleetState &state)
+{
+    while (!state.claimExpiries.empty() && state.claimExpiries.front().first <= state.logTime) {
+        const auto found = state.claims.find(state.claimExpiries.front().second);
+        // A claim that was released and bound again has a later entry of its own.
+        if (found != state.claims.end() && found->second.expiresAt <= state.logTime) {
+            state.claims.erase(found);
+        }
+        state.claimExpiries.pop_front();
+    }
+}
+
+Verdict apply(FleetState &state, const RequestsClaimed &body, const Place &place)
+{
+    if (!isPresent(state, {body.node, body.incarnation})) {
+        return refused("node '" + body.node + "' is not present with this incarnation");
+    }
+    bool all = true;
+    for (const Claim &claim : body.claims) {
+        all = bind(state, claim, place) && all;
+    }
+    return all ? accepted() : refused("some requests were claimed before");
+}
+
+Verdict apply(FleetState &state, const ClaimsReleased &body, const Place &)
+{
+    for (const Release &release : body.releases) {
+        const auto found = state.claims.find(release.key);
+        if (found != state.claims.end() && found->second.boundAt == release.boundAt) {
+            found->second.released = true;
+        }
+    }
+    return accepted();
+}
+
+}
--- /dev/null
+++ b/libs/fleet/src/fleetstate.cpp
@@ -0,0 +1,66 @@
+#include "fleet/fleetstate.h"
+
+#include <array>
+
+namespace Cornelquay {
+
+std::string_view toName(InstanceState state)
+{
+    constexpr std::array<std::string_view, 4> Names{"in-service", "planned-outage", "failed", "arriving"};
+    return Names[static_cast<std::size_t>(state)];
+}
+
+std::optional<ClaimEntry> claimOf(const FleetState &state, const ClaimKey &key)
+{
+    const auto found = state.claims.find(key);
+    if (found == state.claims.end() || found->second.released || found->second.expiresAt <= state.logTime) {
+        return std::nullopt;
+    }
+    return found->second;
+}
+
+std::int64_t unassignedLimit(const FleetState &state, const std::string &team)
+{
+    const auto found = state.parsed->teams.find(team);
+    std::int64_t unassigned = found == state.parsed->teams.end() ? 0 : found->second.runningLimit;
+    for (const auto &[name, member] : state.members) {
+        const auto part = member.limitParts.find(team);
+        unassigned -= part == member.limitParts.end() ? 0 : part->second;
+    }
+    for (const QuarantinedPart &part : state.quarantine) {
+        if (part.team == team && part.freeAt > state.logTime) {
+            unassigned -= part.count;
+        }
+    }
+    return unassigned;
+}
+
+std::int64_t heldLimit(const FleetState &state, const Incarnation &node, const std::string &team)
+{
+    if (!isPresent(state, node)) {
+        return 0;
+    }
+    const MemberEntry &member = state.members.at(node.name);
+    const auto part = member.limitParts.find(team);
+    return part == member.limitParts.end() ? 0 : part->second;
+}
+
+int instancesOut(const FleetState &state, const std::string &pool)
+{
+    int out = 0;
+    for (const auto &[name, instance] : state.instances) {
+        const bool isOut = instance.state == InstanceState::PlannedOutage || instance.state == InstanceState::Failed;
+        if (instance.pool == pool && isOut) {
+            ++out;
+        }
+    }
+    return out;
+}
+
+bool isPresent(const FleetState &state, const Incarnation &node)
+{
+    const auto found = state.members.find(node.name);
+    return found != state.members.end() && found->second.present && found->second.incarnation == node.number;
+}
+
+}
--- /dev/null
+++ b/libs/fleet/src/instancefold.cpp
@@ -0,0 +1,166 @@
+#include "details/folds.h"
+
+namespace Cornelquay::Details {
+
+namespace {
+
+/** The instance if it is as the proposer saw it, else null. */
+InstanceEntry *find(FleetState &state, const std::string &name, std::uint64_t sequence)
+{
+    const auto found = state.instances.find(name);
+    const bool unchanged = found != state.instances.end() && found->second.sequence == sequence;
+    return unchanged ? &found->second : nullptr;
+}
+
+Verdict changedMeanwhile(const FleetState &state, const std::string &name)
+{
+    const auto found = state.instances.find(name);
+    if (found == state.instances.end()) {
+        return refused("there is no instance '" + name + "'");
+    }
+    return refused("the instance changed: it is at sequence " + std::to_string(found->second.sequence));
+}
+
+Verdict wrongState(const InstanceEntry &instance)
+{
+    return refused("the instance is " + std::string(toName(instance.state)));
+}
+
+}
+
+Verdict apply(FleetState &state, const InstanceEnrolled &body, const Place &)
+{
+    if (!state.parsed->pools.contains(body.pool)) {
+        return refused("there is no pool '" + body.pool + "'");
+    }
+    InstanceEntry &instance = state.instances[body.instance];
+    if (body.incarnation <= instance.incarnation) {
+        return refused("incarnation " + std::to_string(instance.incarnation) + " of the instance is known already");
+    }
+    const bool known = instance.incarnation != 0;
+    instance.incarnation = body.incarnation;
+    instance.address = body.address;
+    instance.zone = body.zone;
+    instance.rack = body.rack;
+    instance.cores = body.cores;
+    instance.memoryBytes = body.memoryBytes;
+    instance.accelerators = body.accelerators;
+    if (known) {
+        // A replaced instance keeps the pool the records gave it, and its outage goes on.
+        instance.sequence += 1;
+        return accepted();
+    }
+    instance.pool = body.pool;
+    instance.maintainedAt = body.maintainedAt;
+    return accepted();
+}
+
+Verdict apply(FleetState &state, const InstanceDismissed &body, const Place &)
+{
+    if (find(state, body.instance, body.sequence) == nullptr) {
+        return changedMeanwhile(state, body.instance);
+    }
+    state.instances.erase(body.instance);
+    return accepted();
+}
+
+Verdict apply(FleetState &state, const InstanceMoved &body, const Place &)
+{
+    InstanceEntry *instance = find(state, body.instance, body.sequence);
+    if (instance == nullptr) {
+        return changedMeanwhile(state, body.instance);
+    }
+    if (instance->pool != body.fromPool || body.fromPool == body.toPool) {
+        return refused("the instance is in pool '" + instance->pool + "'");
+    }
+    const auto target = state.parsed->pools.find(body.toPool);
+    if (target == state.parsed->pools.end()) {
+        return refused("there is no pool '" + body.toPool + "'");
+    }
+    const auto source = state.parsed->pools.find(body.fromPool);
+    const bool fromSpare = source != state.parsed->pools.end() && source->second.spare && instance->state == InstanceState::InService;
+    const bool out = instance->state == InstanceState::PlannedOutage;
+    if (!fromSpare && !out) {
+        return wrongState(*instance);
+    }
+    instance->pool = body.toPool;
+    instance->state = InstanceState::Arriving;
+    instance->sequence += 1;
+    return accepted();
+}
+
+Verdict apply(FleetState &state, const OutageGranted &body, const Place &place)
+{
+    InstanceEntry *instance = find(state, body.instance, body.sequence);
+    if (instance == nullptr) {
+        return changedMeanwhile(state, body.instance);
+    }
+    if (!isPresent(state, {body.node, body.incarnation})) {
+        return refused("node '" + body.node + "' is not present with this incarnation");
+    }
+    if (instance->state != InstanceState::InService) {
+        return wrongState(*instance);
+    }
+    if (state.maintenancePaused && body.purpose == OutagePurpose::Maintenance) {
+        return refused("maintenance is paused");
+    }
+    const int budget = poolBudget(*state.parsed, instance->pool);
+    if (instancesOut(state, instance->pool) >= budget) {
+        return refused("pool '" + instance->pool + "' has " + std::to_string(budget) + " instances out, its whole budget");
+    }
+    instance->state = InstanceState::PlannedOutage;
+    instance->purpose = body.purpose;
+    instance->holder = body.node;
+    instance->holderIncarnation = body.incarnation;
+    instance->grantedAt = place.offset;
+    instance->beginBefore = body.beginBefore;
+    instance->sequence += 1;
+    return accepted();
+}
+
+Verdict apply(FleetState &state, const OutageEnded &body, const Place &)
+{
+    InstanceEntry *instance = find(state, body.instance, body.sequence);
+    if (instance == nullptr) {
+        return changedMeanwhile(state, body.instance);
+    }
+    if (instance->state != InstanceState::PlannedOutage && instance->state != InstanceState::Arriving) {
+        return wrongState(*instance);
+    }
+    instance->state = InstanceState::InService;
+    instance->sequence += 1;
+    if (body.maintained) {
+        instance->maintainedAt = body.endedAt;
+    }
+    return accepted();
+}
+
+Verdict apply(FleetState &state, const InstanceFailed &body, const Place &)
+{
+    InstanceEntry *instance = find(state, body.instance, body.sequence);
+    if (instance == nullptr) {
+        return changedMeanwhile(state, body.instance);
+    }
+    if (instance->state != InstanceState::InService && instance->state != InstanceState::Arriving) {
+        return wrongState(*instance);
+    }
+    instance->state = InstanceState::Failed;
+    instance->sequence += 1;
+    return accepted();
+}
+
+Verdict apply(FleetState &state, const InstanceRecovered &body, const Place &)
+{
+    InstanceEntry *instance = find(state, body.instance, body.sequence);
+    if (instance == nullptr) {
+        return changedMeanwhile(state, body.instance);
+    }
+    if (instance->state != InstanceState::Failed) {
+        return wrongState(*instance);
+    }
+    instance->state = InstanceState::InService;
+    instance->sequence += 1;
+    return accepted();
+}
+
+}
--- /dev/null
+++ b/libs/fleet/src/snapshot.cpp
@@ -0,0 +1,186 @@
+#include "fleet/snapshot.h"
+
+#include "configuration/reader.h"
+#include "records/packing.h"
+
+#include <algorithm>
+
+namespace Cornelquay {
+
+namespace {
+
+constexpr std::uint32_t SnapshotVersion = 1;
+constexpr std::size_t PartialsMax = 4;
+constexpr std::uint32_t ChunksMax = 4096;
+
+/** A claim with its key, in the order of expiry, so that equal states give equal bytes. */
+struct StoredClaim {
+    ClaimKey key{};
+    ClaimEntry entry;
+
+    auto fields()
+    {
+        return std::tie(key, entry);
+    }
+};
+
+/** Everything of a FleetState that is not derived. */
+struct StoredState {
+    std::uint32_t version = SnapshotVersion;
+    Offset next = 0;
+    std::int64_t logTime = 0;
+    ConfigurationEntry configuration;
+    std::map<std::string, KeyEntry> keys;
+    std::map<std::string, MemberEntry> members;
+    std::vector<QuarantinedPart> quarantine;
+    std::map<std::string, InstanceEntry> instances;
+    bool maintenancePaused = false;
+    std::vector<StoredClaim> claims;
+    std::vector<std::string> instanceNames;
+    std::vector<AuditEntry> audit;
+
+    auto fields()
+    {
+        return std::tie(version, next, logTime, configuration, keys, members, quarantine, instances, maintenancePaused, claims, instanceNames, audit);
+    }
+};
+
+std::vector<StoredClaim> storedClaims(const FleetState &state)
+{
+    std::vector<StoredClaim> claims;
+    claims.reserve(state.claims.size());
+    for (const auto &[expiresAt, key] : state.claimExpiries) {
+        const auto found = state.claims.find(key);
+        // A claim bound again stands twice in the order; its own entry is the one that matches.
+        if (found != state.claims.end() && found->second.expiresAt == expiresAt) {
+            claims.push_back({key, found->second});
+        }
+    }
+    return claims;
+}
+
+StoredState toStored(const FleetState &state)
+{
+    StoredState stored;
+    stored.next = state.next;
+    stored.logTime = state.logTime;
+    stored.configuration = state.configuration;
+    stored.keys = state.keys;
+    stored.members = state.members;
+    stored.quarantine = state.quarantine;
+    stored.instances = state.instances;
+    stored.maintenancePaused = state.maintenancePaused;
+    stored.claims = storedClaims(state);
+    stored.instanceNames = state.instanceNames;
+    stored.audit.assign(state.audit.begin(), state.audit.end());
+    return stored;
+}
+
+void restoreClaims(FleetState &state, const std::vector<StoredClaim> &claims)
+{
+    state.claims.reserve(claims.size());
+    for (const StoredClaim &claim : claims) {
+        state.claims.emplace(claim.key, claim.entry);
+        state.claimExpiries.emplace_back(claim.entry.expiresAt, claim.key);
+    }
+    for (std::uint32_t index = 0; index < state.instanceNames.size(); ++index) {
+        state.instanceNameIndexes.emplace(state.instanceNames[index], index);
+    }
+}
+
+FleetState fromStored(StoredState stored)
+{
+    FleetState state;
+    state.next = stored.next;
+    state.logTime = stored.logTime;
+    state.configuration = std::move(stored.configuration);
+    state.keys = std::move(stored.keys);
+    state.members = std::move(stored.members);
+    state.quarantine = std::move(stored.quarantine);
+    state.instances = std::move(stored.instances);
+    state.maintenancePaused = stored.maintenancePaused;
+    state.instanceNames = std::move(stored.instanceNames);
+    state.audit.assign(stored.audit.begin(), stored.audit.end());
+    restoreClaims(state, stored.claims);
+    if (state.configuration.version > 0) {
+        state.parsed = std::make_shared<const Configuration>(readConfiguration("configuration", state.configuration.text).configuration);
+    }
+    return state;
+}
+
+bool isSane(const SnapshotChunk &chunk)
+{
+    return chunk.count > 0 && chunk.count <= ChunksMax && chunk.index < chunk.count && chunk.bytes.size() <= SnapshotChunkBytes;
+}
+
+}
+
+std::string serialize(const FleetState &state)
+{
+    msgpack::sbuffer buffer;
+    msgpack::packer<msgpack::sbuffer> packer(buffer);
+    Packing::pack(packer, toStored(state));
+    return {buffer.data(), buffer.size()};
+}
+
+tl::expected<FleetState, std::string> deserialize(std::string_view bytes)
+{
+    try {
+        const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, Packing::unpackLimits(bytes.size()));
+        StoredState stored;
+        Packing::unpack(handle.get(), stored);
+        if (stored.version != SnapshotVersion) {
+            return tl::make_unexpected("snapshot version " + std::to_string(stored.version) + " is not known");
+        }
+        return fromStored(std::move(stored));
+    } catch (const std::exception &error) {
+        return tl::make_unexpected(std::string("malformed snapshot: ") + error.what());
+    }
+}
+
+std::vector<SnapshotChunk> toChunks(const FleetState &state)
+{
+    const std::string bytes = serialize(state);
+    const std::size_t count = std::max<std::size_t>(1, (bytes.size() + SnapshotChunkBytes - 1) / SnapshotChunkBytes);
+    const RecordId id = newRecordId();
+    std::vector<SnapshotChunk> chunks;
+    for (std::size_t index = 0; index < count; ++index) {
+        chunks.push_back({id,
+                          state.next,
+                          static_cast<std::uint32_t>(index),
+                          static_cast<std::uint32_t>(count),
+                          bytes.substr(index * SnapshotChunkBytes, SnapshotChunkBytes)});
+    }
+    return chunks;
+}
+
+std::optional<std::string> SnapshotAssembler::add(const SnapshotChunk &chunk)
+{
+    if (!isSane(chunk)) {
+        return std::nullopt;
+    }
+    if (m_partials.size() >= PartialsMax && !m_partials.contains(chunk.snapshotId)) {
+        m_partials.erase(m_partials.begin());
+    }
+    Partial &partial = m_partials[chunk.snapshotId];
+    if (partial.pieces.empty()) {
+        partial.pieces.resize(chunk.count);
+        partial.missing = chunk.count;
+    }
+    if (partial.pieces.size() != chunk.count || !partial.pieces[chunk.index].empty()) {
+        return std::nullopt;
+    }
+    partial.pieces[chunk.index] = chunk.bytes;
+    partial.missing -= 1;
+    if (partial.missing > 0) {
+        return std::nullopt;
+    }
+    std::string bytes;
+    for (const std::string &piece : partial.pieces) {
+        bytes += piece;
+    }
+    m_partials.erase(chunk.snapshotId);
+    return bytes;
+}
+
+}
--- /dev/null
+++ b/libs/load/src/report.cpp
@@ -0,0 +1,159 @@
+#include "load/report.h"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace Cornelquay {
+
+namespace {
+
+using Json = nlohmann::ordered_json;
+using Latencies = std::vector<std::chrono::microseconds>;
+
+std::chrono::microseconds quantile(Latencies &latencies, double part)
+{
+    if (latencies.empty()) {
+        return std::chrono::microseconds(0);
+    }
+    const auto index = static_cast<std::size_t>(part * static_cast<double>(latencies.size() - 1));
+    std::nth_element(latencies.begin(), latencies.begin() + static_cast<std::ptrdiff_t>(index), latencies.end());
+    return latencies[index];
+}
+
+double milliseconds(std::chrono::microseconds span)
+{
+    return static_cast<double>(span.count()) / 1000.0;
+}
+
+/** What all copies of one request were told. */
+struct Told {
+    bool anyAnswered = false;
+    bool allNotRun = true;
+};
+
+void holdAgainstRuns(const std::vector<PlannedRequest> &plan, const std::vector<CallRecord> &records, const RunCounts &runs, LoadSummary &summary)
+{
+    std::map<std::size_t, Told> told;
+    for (const CallRecord &record : records) {
+        Told &entry = told[record.request];
+        entry.anyAnswered = entry.anyAnswered || record.result == CallResult::Answered;
+        entry.allNotRun = entry.allNotRun && (record.result == CallResult::NotRun || record.result == CallResult::NotSent);
+    }
+    for (const auto &[index, entry] : told) {
+        const PlannedRequest &request = plan[index];
+        const auto found = runs.find(request.requestId);
+        const std::int64_t count = found == runs.end() ? 0 : found->second;
+        summary.falseRefusals += entry.allNotRun && count > 0 ? 1 : 0;
+        summary.doubleRuns += !request.idempotent && count > 1 ? 1 : 0;
+        summary.answersWithoutRun += entry.anyAnswered && count == 0 ? 1 : 0;
+    }
+}
+
+Json toJsonValue(const TeamSummary &team)
+{
+    return {{"submitted", team.submitted},
+            {"answered", team.answered},
+            {"not-run", team.notRun},
+            {"unknown", team.unknown},
+            {"latency-p50-ms", milliseconds(team.latencyMedian)},
+            {"latency-p99-ms", milliseconds(team.latencyP99)}};
+}
+
+}
+
+LoadSummary
+summarize(const LoadSettings &settings, const std::vector<PlannedRequest> &plan, const std::vector<CallRecord> &records, const std::optional<RunCounts> &runs)
+{
+    LoadSummary summary;
+    Latencies all;
+    std::map<std::string, Latencies> byTeam;
+    for (const CallRecord &record : records) {
+        const PlannedRequest &request = plan[record.request];
+        const std::string &teamName = settings.teams[request.team].name;
+        TeamSummary &team = summary.teams[teamName];
+        summary.results[std::string(toName(record.result))] += 1;
+        if (!record.reason.empty()) {
+            summary.reasons[record.reason] += 1;
+        }
+        team.submitted += 1;
+        team.answered += record.result == CallResult::Answered ? 1 : 0;
+        team.notRun += record.result == CallResult::NotRun || record.result == CallResult::NotSent ? 1 : 0;
+        team.unknown += record.result == CallResult::Unknown || record.result == CallResult::Cut ? 1 : 0;
+        summary.wrongAnswers += record.correct ? 0 : 1;
+        if (record.result == CallResult::Answered) {
+            all.push_back(record.latency);
+            byTeam[teamName].push_back(record.latency);
+            summary.latencyMost = std::max(summary.latencyMost, record.latency);
+            summary.urgentLatencyMost = std::max(summary.urgentLatencyMost, request.urgent ? record.latency : std::chrono::microseconds(0));
+        }
+    }
+    summary.latencyMedian = quantile(all, 0.5);
+    summary.latencyP99 = quantile(all, 0.99);
+    for (auto &[name, latencies] : byTeam) {
+        summary.teams[name].latencyMedian = quantile(latencies, 0.5);
+        summary.teams[name].latencyP99 = quantile(latencies, 0.99);
+    }
+    if (runs) {
+        holdAgainstRuns(plan, records, *runs, summary);
+    }
+    return summary;
+}
+
+std::string toJson(const LoadSummary &summary)
+{
+    Json body;
+    body["results"] = summary.results;
+    body["reasons"] = summary.reasons;
+    body["latency-p50-ms"] = milliseconds(summary.latencyMedian);
+    body["latency-p99-ms"] = milliseconds(summary.latencyP99);
+    body["latency-max-ms"] = milliseconds(summary.latencyMost);
+    body["urgent-latency-max-ms"] = milliseconds(summary.urgentLatencyMost);
+    body["wrong-answers"] = summary.wrongAnswers;
+    body["false-refusals"] = summary.falseRefusals;
+    body["double-runs"] = summary.doubleRuns;
+    body["answers-without-run"] = summary.answersWithoutRun;
+    for (const auto &[name, team] : summary.teams) {
+        body["teams"][name] = toJsonValue(team);
+    }
+    return body.dump();
+}
+
+std::string toJsonLines(const std::vector<PlannedRequest> &plan, const std::vector<CallRecord> &records)
+{
+    std::string text;
+    for (const CallRecord &record : records) {
+        const PlannedRequest &request = plan[record.request];
+        const Json line{{"request-id", request.requestId},
+                        {"target", record.target},
+                        {"service", request.service},
+                        {"idempotent", request.idempotent},
+                        {"urgent", request.urgent},
+                        {"result", toName(record.result)},
+                        {"correct", record.correct},
+                        {"status", record.status},
+                        {"reason", record.reason},
+                        {"started-ms", milliseconds(record.startedAt)},
+                        {"latency-ms", milliseconds(record.latency)}};
+        text += line.dump() + '\n';
+    }
+    return text;
+}
+
+std::optional<RunCounts> readRunCounts(const Address &standin)
+{
+    httplib::Client client(standin.host, standin.port);
+    const httplib::Result result = client.Get("/ledger/requests");
+    if (!result) {
+        return std::nullopt;
+    }
+    const nlohmann::json body = nlohmann::json::parse(result->body, nullptr, false);
+    if (!body.is_object()) {
+        return std::nullopt;
+    }
+    return body.get<RunCounts>();
+}
+
+}
--- /dev/null
+++ b/libs/operatorclient/src/client.cpp
@@ -0,0 +1,228 @@
+#include "operatorclient/client.h"
+
+#include "configuration/reader.h"
+#include "details/rendering.h"
+#include "transport/httpclients.h"
+
+#include <httplib.h>
+
+#include <fstream>
+#include <ostream>
+#include <sstream>
+
+namespace Cornelquay {
+
+namespace {
+
+using namespace std::chrono_literals;
+using Json = nlohmann::ordered_json;
+
+constexpr auto QueryTimeout = 5s;
+/** Longer than a node waits for the log and for all other nodes. */
+constexpr auto CommandTimeout = 20s;
+
+constexpr int StatusOk = 200;
+constexpr int StatusAccepted = 202;
+constexpr int StatusBadRequest = 400;
+constexpr int StatusConflict = 409;
+constexpr int StatusUnknownOutcome = 504;
+
+/** A node's answer, or why there is none. */
+struct Reply {
+    int status = 0;
+    Json body;
+};
+
+enum class NoReply {
+    Unreachable,
+    Lost,
+};
+
+std::optional<std::string> readFile(const std::string &path)
+{
+    std::ifstream file(path, std::ios::binary);
+    if (!file) {
+        return std::nullopt;
+    }
+    std::stringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+ClientExit exitOf(int status, const Json &body)
+{
+    switch (status) {
+    case StatusOk:
+        return ClientExit::Done;
+    case StatusAccepted:
+        return ClientExit::NotInForceEverywhere;
+    case StatusBadRequest:
+        return body.contains("findings") ? ClientExit::Findings : ClientExit::Failed;
+    case StatusConflict:
+        return ClientExit::Conflict;
+    case StatusUnknownOutcome:
+        return ClientExit::Unknown;
+    default:
+        return ClientExit::Failed;
+    }
+}
+
+/** Carries out commands; one overload for each kind. */
+class Runner
+{
+public:
+    Runner(const ClientOptions &options, std::ostream &out, std::ostream &err)
+        : m_options(options)
+        , m_out(out)
+        , m_err(err)
+    {
+    }
+
+    ClientExit operator()(const CheckCommand &command)
+    {
+        const std::optional<std::string> text = load(command.file);
+        if (!text) {
+            return ClientExit::Failed;
+        }
+        const ReadConfiguration read = readConfiguration(command.file, *text);
+        if (m_options.output == OutputFormat::Json) {
+            Json findings = Json::array();
+            for (const Finding &finding : read.findings.sorted()) {
+                findings.push_back({{"file", finding.place.file},
+                                    {"line", finding.place.line},
+                                    {"column", finding.place.column},
+                                    {"problem", finding.problem},
+                                    {"remedy", finding.remedy}});
+            }
+            m_out << Json{{"findings", findings}}.dump(2) << '\n';
+        } else {
+            m_out << (read.findings.isEmpty() ? command.file + ": no findings\n" : read.findings.toText());
+        }
+        return read.findings.isEmpty() ? ClientExit::Done : ClientExit::Findings;
+    }
+
+    ClientExit operator()(const QueryCommand &command)
+    {
+        return print(query(command.path));
+    }
+
+    ClientExit operator()(const DiffCommand &command)
+    {
+        const std::optional<std::string> text = load(command.file);
+        if (!text) {
+            return ClientExit::Failed;
+        }
+        return printDifference(send("/v1/config/diff", {{"text", *text}}));
+    }
+
+    ClientExit operator()(const ApplyCommand &command)
+    {
+        const std::optional<std::string> text = load(command.file);
+        if (!text) {
+            return ClientExit::Failed;
+        }
+        if (command.dryRun) {
+            return printDifference(send("/v1/config/diff", {{"text", *text}}));
+        }
+        Json body{{"text", *text}, {"reason", command.reason}};
+        if (command.baseVersion) {
+            body["base-version"] = *command.baseVersion;
+        }
+        return print(send("/v1/config", body));
+    }
+
+    ClientExit operator()(const GrantCommand &command)
+    {
+        return print(send("/v1/keys", {{"team", command.team}, {"reason", command.reason}}));
+    }
+
+    ClientExit operator()(const WithdrawCommand &command)
+    {
+        return print(send("/v1/keys/" + command.keyId + "/withdraw", {{"reason", command.reason}}));
+    }
+
+    ClientExit operator()(const MaintenanceCommand &command)
+    {
+        return print(send(command.pause ? "/v1/maintenance/pause" : "/v1/maintenance/resume", {{"reason", command.reason}}));
+    }
+
+private:
+    using Result = tl::expected<Reply, NoReply>;
+    using Call = std::function<httplib::Result(httplib::Client &, const httplib::Headers &)>;
+
+    std::optional<std::string> load(const std::string &path)
+    {
+        std::optional<std::string> text = readFile(path);
+        if (!text) {
+            m_err << "cornelquay: " << path << " cannot be read\n";
+        }
+        return text;
+    }
+
+    Result query(const std::string &path)
+    {
+        return call(QueryTimeout, [&](httplib::Client &client, const httplib::Headers &headers) {
+            return client.Get(path, headers);
+        });
+    }
+
+    Result send(const std::string &path, const Json &body)
+    {
+        return call(CommandTimeout, [&](httplib::Client &client, const httplib::Headers &headers) {
+            return client.Post(path, headers, body.dump(), "application/json");
+        });
+    }
+
+    // The next node is asked only if the one before provably did not get the request.
+    Result call(std::chrono::milliseconds timeout, const Call &call)
+    {
+        const httplib::Headers headers{{"Authorization", "Bearer " + m_options.token}};
+        for (const Address &node : m_options.nodes) {
+            httplib::Client client(node.host, node.port);
+            client.set_connection_timeout(2s);
+            client.set_read_timeout(timeout);
+            const httplib::Result result = call(client, headers);
+            if (result) {
+                Json body = Json::parse(result->body, nullptr, false);
+                return Reply{result->status, body.is_discarded() ? Json{{"error", result->body}} : std::move(body)};
+            }
+            if (!isNotSent(result.error())) {
+                return tl::make_unexpected(NoReply::Lost);
+            }
+        }
+        return tl::make_unexpected(NoReply::Unreachable);
+    }
+
+    ClientExit print(const Result &result)
+    {
+        if (!result) {
+            const bool lost = result.error() == NoReply::Lost;
+            m_err << "cornelquay: " << (lost ? "the node's answer is lost; look at 'audit' before trying again" : "no node could be reached") << '\n';
+            return lost ? ClientExit::Unknown : ClientExit::Unreachable;
+        }
+        const bool good = result->status == StatusOk || result->status == StatusAccepted;
+        std::ostream &stream = good || m_options.output == OutputFormat::Json ? m_out : m_err;
+        stream << (m_options.output == OutputFormat::Json ? result->body.dump(2) + '\n' : Details::renderText(result->body));
+        return exitOf(result->status, result->body);
+    }
+
+    ClientExit printDifference(const Result &result)
+    {
+        const ClientExit exit = print(result);
+        const bool findings = result && result->body.contains("findings") && !result->body["findings"].empty();
+        return exit == ClientExit::Done && findings ? ClientExit::Findings : exit;
+    }
+
+    const ClientOptions &m_options;
+    std::ostream &m_out;
+    std::ostream &m_err;
+};
+
+}
+
+ClientExit runCommand(const ClientOptions &options, std::ostream &out, std::ostream &err)
+{
+    return std::visit(Runner(options, out, err), options.command);
+}
+
+}
--- /dev/null
+++ b/libs/operatorclient/src/commandline.cpp
@@ -0,0 +1,327 @@
+#include "operatorclient/commandline.h"
+
+#include <getopt.h>
+
+#include <charconv>
+#include <fstream>
+#include <map>
+
+namespace Cornelquay {
+
+namespace {
+
+/** Options as they were given, before the command makes sense of them. */
+struct RawOptions {
+    std::vector<std::string> nodes;
+    std::string tokenFile;
+    std::string output = "text";
+    std::string reason;
+    std::string baseVersion;
+    bool dryRun = false;
+    std::vector<std::string> words;
+};
+
+constexpr const char *Usage = R"(usage: cornelquay [options] COMMAND
+
+Queries:
+  status                     this node and the nodes it knows
+  teams | services | pools | instances | maintenance
+  config show                the configuration in force
+  config history             who changed it, when, from which version, why
+  key list                   keys by id; secrets are never shown
+  audit [SUBJECT]            the newest records, of one subject if given
+  why REQUEST|INSTANCE|SERVICE
+                             which rule decides what is happening to it
+
+Commands:
+  config check FILE          check a text here, without a node
+  config diff FILE           what FILE would change
+  config apply FILE          put FILE in force
+      --base-version N       refuse if another version is in force
+      --dry-run              only show what would change
+  key grant TEAM             give TEAM a new key; it is shown this once
+  key withdraw KEY-ID        end a key
+  maintenance pause | maintenance resume
+
+Options:
+  --node ADDRESS             a node's operators' address; may be repeated (CORNELQUAY_NODE)
+  --token-file FILE          the operator's token (CORNELQUAY_TOKEN)
+  --reason TEXT              why, for the audit trail
+  --output text|json         how to print (text)
+  --help, --version
+
+Exit codes: 0 done, 1 failed, 2 wrong usage, 3 findings, 4 refused because of a conflict,
+5 no node could be reached, 6 outcome unknown, 7 accepted but not yet in force on every node.
+)";
+
+using Parsed = ParsedCommandLine;
+
+ClientUsageError wrong(const std::string &message)
+{
+    return {message + "; see --help"};
+}
+
+/** Runs getopt_long over the arguments; a text if it ends there. */
+std::optional<Parsed> readOptions(const std::vector<std::string> &arguments, RawOptions &raw)
+{
+    const option longOptions[] = {{"node", required_argument, nullptr, 'n'},
+                                  {"token-file", required_argument, nullptr, 't'},
+                                  {"output", required_argument, nullptr, 'o'},
+                                  {"reason", required_argument, nullptr, 'r'},
+                                  {"base-version", required_argument, nullptr, 'b'},
+                                  {"dry-run", no_argument, nullptr, 'd'},
+                                  {"help", no_argument, nullptr, 'h'},
+                                  {"version", no_argument, nullptr, 'v'},
+                                  {nullptr, 0, nullptr, 0}};
+    std::vector<std::string> storage{"cornelquay"};
+    storage.insert(storage.end(), arguments.begin(), arguments.end());
+    std::vector<char *> argv;
+    argv.reserve(storage.size() + 1);
+    for (std::string &argument : storage) {
+        argv.push_back(argument.data());
+    }
+    argv.push_back(nullptr);
+    const int argc = static_cast<int>(storage.size());
+    optind = 0;
+    opterr = 0;
+    int choice = 0;
+    while ((choice = getopt_long(argc, argv.data(), "", longOptions, nullptr)) != -1) { // NOLINT(concurrency-mt-unsafe)
+        switch (choice) {
+        case 'n':
+            raw.nodes.emplace_back(optarg);
+            break;
+        case 't':
+            raw.tokenFile = optarg;
+            break;
+        case 'o':
+            raw.output = optarg;
+            break;
+        case 'r':
+            raw.reason = optarg;
+            break;
+        case 'b':
+            raw.baseVersion = optarg;
+            break;
+        case 'd':
+            raw.dryRun = true;
+            break;
+        case 'h':
+            return ClientInformation{usageText()};
+        case 'v':
+            return ClientInformation{"cornelquay " CORNELQUAY_VERSION "\n"};
+        default:
+            return wrong("unknown or incomplete option '" + storage[static_cast<std::size_t>(optind) - 1] + '\'');
+        }
+    }
+    raw.words.assign(argv.begin() + optind, argv.begin() + argc);
+    return std::nullopt;
+}
+
+std::optional<std::uint64_t> parseVersion(const std::string &text)
+{
+    std::uint64_t version = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), version);
+    if (text.empty() || error != std::errc() || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return version;
+}
+
+/** A command of one or two words and how many words follow it. */
+struct CommandShape {
+    std::size_t leastArguments;
+    std::size_t mostArguments;
+    ClientCommand (*make)(const RawOptions &raw, const std::vector<std::string> &arguments);
+};
+
+ClientCommand query(const std::string &path)
+{
+    return QueryCommand{path};
+}
+
+const std::map<std::string, CommandShape> &commandShapes()
+{
+    using Arguments = std::vector<std::string>;
+    static const std::map<std::string, CommandShape> Shapes{
+        {"status",
+         {0,
+          0,
+          [](const RawOptions &, const Arguments &) {
+              return query("/v1/status");
+          }}},
+        {"teams",
+         {0,
+          0,
+          [](const RawOptions &, const Arguments &) {
+              return query("/v1/teams");
+          }}},
+        {"services",
+         {0,
+          0,
+          [](const RawOptions &, const Arguments &) {
+              return query("/v1/services");
+          }}},
+        {"pools",
+         {0,
+          0,
+          [](const RawOptions &, const Arguments &) {
+              return query("/v1/pools");
+          }}},
+        {"instances",
+         {0,
+          0,
+          [](const RawOptions &, const Arguments &) {
+              return query("/v1/instances");
+          }}},
+        {"maintenance",
+         {0,
+          0,
+          [](const RawOptions &, const Arguments &) {
+              return query("/v1/maintenance");
+          }}},
+        {"maintenance pause",
+         {0,
+          0,
+          [](const RawOptions &raw, const Arguments &) {
+              return ClientCommand(MaintenanceCommand{true, raw.reason});
+          }}},
+        {"maintenance resume",
+         {0,
+          0,
+          [](const RawOptions &raw, const Arguments &) {
+              return ClientCommand(MaintenanceCommand{false, raw.reason});
+          }}},
+        {"config show",
+         {0,
+          0,
+          [](const RawOptions &, const Arguments &) {
+              return query("/v1/config");
+          }}},
+        {"config history",
+         {0,
+          0,
+          [](const RawOptions &, const Arguments &) {
+              return query("/v1/config/history");
+          }}},
+        {"config check",
+         {1,
+          1,
+          [](const RawOptions &, const Arguments &words) {
+              return ClientCommand(CheckCommand{words[0]});
+          }}},
+        {"config diff",
+         {1,
+          1,
+          [](const RawOptions &, const Arguments &words) {
+              return ClientCommand(DiffCommand{words[0]});
+          }}},
+        {"config apply",
+         {1,
+          1,
+          [](const RawOptions &raw, const Arguments &words) {
+              return ClientCommand(ApplyCommand{words[0], raw.reason, parseVersion(raw.baseVersion), raw.dryRun});
+          }}},
+        {"key list",
+         {0,
+          0,
+          [](const RawOptions &, const Arguments &) {
+              return query("/v1/keys");
+          }}},
+        {"key grant",
+         {1,
+          1,
+          [](const RawOptions &raw, const Arguments &words) {
+              return ClientCommand(GrantCommand{words[0], raw.reason});
+          }}},
+        {"key withdraw",
+         {1,
+          1,
+          [](const RawOptions &raw, const Arguments &words) {
+              return ClientCommand(WithdrawCommand{words[0], raw.reason});
+          }}},
+        {"audit",
+         {0,
+          1,
+          [](const RawOptions &, const Arguments &words) {
+              return query(words.empty() ? "/v1/audit" : "/v1/audit?subject=" + words[0]);
+          }}},
+        {"why",
+         {1,
+          1,
+          [](const RawOptions &, const Arguments &words) {
+              return query("/v1/why/" + words[0]);
+          }}},
+    };
+    return Shapes;
+}
+
+/** The command that the first one or two words name; longer names go first. */
+tl::expected<ClientCommand, ClientUsageError> findCommand(const RawOptions &raw)
+{
+    for (std::size_t length = std::min<std::size_t>(2, raw.words.size()); length > 0; --length) {
+        const std::string name = length == 2 ? raw.words[0] + ' ' + raw.words[1] : raw.words[0];
+        const auto shape = commandShapes().find(name);
+        if (shape == commandShapes().end()) {
+            continue;
+        }
+        const std::vector<std::string> arguments(raw.words.begin() + static_cast<std::ptrdiff_t>(length), raw.words.end());
+        if (arguments.size() < shape->second.leastArguments || arguments.size() > shape->second.mostArguments) {
+            return tl::make_unexpected(wrong("'" + name + "' has a wrong number of arguments"));
+        }
+        return shape->second.make(raw, arguments);
+    }
+    return tl::make_unexpected(wrong(raw.words.empty() ? "there is no command" : "unknown command '" + raw.words[0] + '\''));
+}
+
+std::string firstLine(const std::string &path)
+{
+    std::ifstream file(path);
+    std::string line;
+    std::getline(file, line);
+    return line;
+}
+
+}
+
+std::string usageText()
+{
+    return Usage;
+}
+
+ParsedCommandLine parseCommandLine(const std::vector<std::string> &arguments, const std::string &nodeDefault, const std::string &tokenDefault)
+{
+    RawOptions raw;
+    if (std::optional<Parsed> ended = readOptions(arguments, raw)) {
+        return std::move(*ended);
+    }
+    ClientOptions options;
+    if (raw.output != "text" && raw.output != "json") {
+        return wrong("--output is text or json");
+    }
+    options.output = raw.output == "json" ? OutputFormat::Json : OutputFormat::Text;
+    if (!raw.baseVersion.empty() && !parseVersion(raw.baseVersion)) {
+        return wrong("--base-version takes a number");
+    }
+    const tl::expected<ClientCommand, ClientUsageError> command = findCommand(raw);
+    if (!command) {
+        return command.error();
+    }
+    options.command = *command;
+    if (raw.nodes.empty() && !nodeDefault.empty()) {
+        raw.nodes.push_back(nodeDefault);
+    }
+    for (const std::string &node : raw.nodes) {
+        const std::optional<Address> address = parseAddress(node);
+        if (!address) {
+            return wrong("'" + node + "' is not an IP number and port");
+        }
+        options.nodes.push_back(*address);
+    }
+    if (options.nodes.empty() && !std::holds_alternative<CheckCommand>(options.command)) {
+        return wrong("there is no --node");
+    }
+    options.token = raw.tokenFile.empty() ? tokenDefault : firstLine(raw.tokenFile);
+    return options;
+}
+
+}
--- /dev/null
+++ b/libs/platform/src/platformservice.cpp
@@ -0,0 +1,153 @@
+#include "platform/platformservice.h"
+
+#include "transport/httpclients.h"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <array>
+
+namespace Cornelquay {
+
+namespace {
+
+constexpr std::size_t ConnectionsMax = 8;
+constexpr int StatusOk = 200;
+constexpr int StatusUnavailable = 503;
+constexpr int StatusClientErrorFirst = 400;
+constexpr int StatusClientErrorLast = 499;
+
+constexpr std::array<std::string_view, 5> StateNames{"live", "leaving", "draining", "drained", "rebooting"};
+
+std::optional<ListedInstance> parseInstance(const nlohmann::json &item)
+{
+    ListedInstance instance;
+    instance.name = item.at("name").get<std::string>();
+    instance.incarnation = item.at("incarnation").get<std::uint64_t>();
+    instance.pool = item.at("pool").get<std::string>();
+    instance.zone = item.at("zone").get<std::string>();
+    instance.rack = item.at("rack").get<std::string>();
+    instance.cores = item.at("cores").get<double>();
+    instance.memoryBytes = item.at("memory-bytes").get<std::uint64_t>();
+    instance.accelerators = item.at("accelerators").get<double>();
+    instance.maintainedAt = item.at("maintained-at").get<std::int64_t>();
+    const std::optional<Address> address = parseAddress(item.at("address").get<std::string>());
+    const std::optional<ListedState> state = parseListedState(item.at("state").get<std::string>());
+    if (!address || !state) {
+        return std::nullopt;
+    }
+    instance.address = *address;
+    instance.state = *state;
+    return instance;
+}
+
+std::optional<std::vector<ListedInstance>> parseInstances(const std::string &text)
+{
+    std::vector<ListedInstance> instances;
+    try {
+        const nlohmann::json body = nlohmann::json::parse(text);
+        for (const nlohmann::json &item : body.at("instances")) {
+            std::optional<ListedInstance> instance = parseInstance(item);
+            if (!instance) {
+                return std::nullopt;
+            }
+            instances.push_back(std::move(*instance));
+        }
+    } catch (const nlohmann::json::exception &) {
+        return std::nullopt;
+    }
+    return instances;
+}
+
+}
+
+std::string_view toName(ListedState state)
+{
+    return StateNames[static_cast<std::size_t>(state)];
+}
+
+std::optional<ListedState> parseListedState(std::string_view name)
+{
+    for (std::size_t index = 0; index < StateNames.size(); ++index) {
+        if (StateNames[index] == name) {
+            return static_cast<ListedState>(index);
+        }
+    }
+    return std::nullopt;
+}
+
+struct PlatformService::Impl {
+    explicit Impl(Address address)
+        : clients(std::move(address), ConnectionsMax)
+    {
+    }
+
+    HttpClients clients;
+};
+
+PlatformService::PlatformService(Address address)
+    : m_impl(std::make_unique<Impl>(std::move(address)))
+{
+}
+
+PlatformService::~PlatformService() = default;
+
+tl::expected<std::vector<ListedInstance>, PlatformError> PlatformService::instances(SteadyTime deadline) const
+{
+    HttpClients::Lease client = m_impl->clients.take(deadline);
+    if (!client) {
+        return tl::make_unexpected(PlatformError::NotDone);
+    }
+    const httplib::Result result = client->Get("/instances");
+    if (!result) {
+        return tl::make_unexpected(PlatformError::NotDone);
+    }
+    m_impl->clients.giveBack(std::move(client));
+    if (result->status != StatusOk) {
+        return tl::make_unexpected(PlatformError::NotDone);
+    }
+    std::optional<std::vector<ListedInstance>> instances = parseInstances(result->body);
+    if (!instances) {
+        return tl::make_unexpected(PlatformError::NotDone);
+    }
+    return std::move(*instances);
+}
+
+tl::expected<void, PlatformError> PlatformService::drain(const FencedCommand &command, SteadyTime deadline)
+{
+    return this->command("drain", command, deadline);
+}
+
+tl::expected<void, PlatformError> PlatformService::reboot(const FencedCommand &command, SteadyTime deadline)
+{
+    return this->command("reboot", command, deadline);
+}
+
+tl::expected<void, PlatformError> PlatformService::resume(const FencedCommand &command, SteadyTime deadline)
+{
+    return this->command("resume", command, deadline);
+}
+
+tl::expected<void, PlatformError> PlatformService::command(const std::string &verb, const FencedCommand &command, SteadyTime deadline)
+{
+    const nlohmann::json body{{"fence", command.fence}, {"begin-before", toUnixMilliseconds(command.beginBefore)}};
+    HttpClients::Lease client = m_impl->clients.take(deadline);
+    if (!client) {
+        return tl::make_unexpected(PlatformError::NotDone);
+    }
+    const httplib::Result result = client->Post("/instances/" + command.instance + '/' + verb, body.dump(), "application/json");
+    if (!result) {
+        return tl::make_unexpected(isNotSent(result.error()) ? PlatformError::NotDone : PlatformError::Unknown);
+    }
+    m_impl->clients.giveBack(std::move(client));
+    if (result->status == StatusOk) {
+        return {};
+    }
+    if (result->status == StatusUnavailable) {
+        return tl::make_unexpected(PlatformError::NotDone);
+    }
+    const bool refused = result->status >= StatusClientErrorFirst && result->status <= StatusClientErrorLast;
+    return tl::make_unexpected(refused ? PlatformError::Refused : PlatformError::Unknown);
+}
+
+}
--- /dev/null
+++ b/libs/records/include/records/packing.h
@@ -0,0 +1,159 @@
+#pragma once
+
+#include "records/record.h"
+
+#include <msgpack.hpp>
+
+#include <map>
+#include <set>
+#include <tuple>
+
+namespace Cornelquay::Packing {
+
+// MessagePack form of everything that has fields(): an array of the fields in their order.
+// Only codec sources include this header; it is slow to compile.
+
+template<typename Type>
+concept HasFields = requires(Type &value)
+{
+    value.fields();
+};
+
+template<typename Type>
+void pack(msgpack::packer<msgpack::sbuffer> &packer, const Type &value);
+
+template<typename Type>
+void unpack(const msgpack::object &object, Type &value);
+
+template<typename Type>
+void packAll(msgpack::packer<msgpack::sbuffer> &packer, const Type &fields)
+{
+    packer.pack_array(std::tuple_size_v<Type>);
+    std::apply(
+        [&](const auto &...field) {
+            (pack(packer, field), ...);
+        },
+        fields);
+}
+
+template<typename Type>
+struct Packer {
+    static void pack(msgpack::packer<msgpack::sbuffer> &packer, const Type &value)
+    {
+        if constexpr (HasFields<Type>) {
+            // fields() gives references and changes nothing; it has no const form to stay one line per body.
+            packAll(packer, const_cast<Type &>(value).fields()); // NOLINT(cppcoreguidelines-pro-type-const-cast)
+        } else if constexpr (std::is_enum_v<Type>) {
+            packer.pack(static_cast<std::uint32_t>(value));
+        } else {
+            packer.pack(value);
+        }
+    }
+
+    static void unpack(const msgpack::object &object, Type &value)
+    {
+        if constexpr (HasFields<Type>) {
+            auto fields = value.fields();
+            if (object.type != msgpack::type::ARRAY || object.via.array.size != std::tuple_size_v<decltype(fields)>) {
+                throw msgpack::type_error();
+            }
+            std::size_t index = 0;
+            std::apply(
+                [&](auto &...field) {
+                    (Packing::unpack(object.via.array.ptr[index++], field), ...);
+                },
+                fields);
+        } else if constexpr (std::is_enum_v<Type>) {
+            value = static_cast<Type>(object.as<std::uint32_t>());
+        } else {
+            object.convert(value);
+        }
+    }
+};
+
+template<std::size_t Size>
+struct Packer<std::array<std::uint8_t, Size>> {
+    static void pack(msgpack::packer<msgpack::sbuffer> &packer, const std::array<std::uint8_t, Size> &value)
+    {
+        packer.pack_bin(Size);
+        packer.pack_bin_body(reinterpret_cast<const char *>(value.data()), Size);
+    }
+
+    static void unpack(const msgpack::object &object, std::array<std::uint8_t, Size> &value)
+    {
+        if (object.type != msgpack::type::BIN || object.via.bin.size != Size) {
+            throw msgpack::type_error();
+        }
+        std::copy_n(object.via.bin.ptr, Size, reinterpret_cast<char *>(value.data()));
+    }
+};
+
+template<typename Item>
+struct Packer<std::vector<Item>> {
+    static void pack(msgpack::packer<msgpack::sbuffer> &packer, const std::vector<Item> &values)
+    {
+        packer.pack_array(static_cast<std::uint32_t>(values.size()));
+        for (const Item &value : values) {
+            Packing::pack(packer, value);
+        }
+    }
+
+    static void unpack(const msgpack::object &object, std::vector<Item> &values)
+    {
+        if (object.type != msgpack::type::ARRAY) {
+            throw msgpack::type_error();
+        }
+        values.resize(object.via.array.size);
+        for (std::uint32_t index = 0; index < object.via.array.size; ++index) {
+            Packing::unpack(object.via.array.ptr[index], values[index]);
+        }
+    }
+};
+
+template<typename Key, typename Value>
+struct Packer<std::map<Key, Value>> {
+    static void pack(msgpack::packer<msgpack::sbuffer> &packer, const std::map<Key, Value> &entries)
+    {
+        packer.pack_map(static_cast<std::uint32_t>(entries.size()));
+        for (const auto &[key, value] : entries) {
+            Packing::pack(packer, key);
+            Packing::pack(packer, value);
+        }
+    }
+
+    static void unpack(const msgpack::object &object, std::map<Key, Value> &entries)
+    {
+        if (object.type != msgpack::type::MAP) {
+            throw msgpack::type_error();
+        }
+        entries.clear();
+        for (std::uint32_t index = 0; index < object.via.map.size; ++index) {
+            Key key{};
+            Value value{};
+            Packing::unpack(object.via.map.ptr[index].key, key);
+            Packing::unpack(object.via.map.ptr[index].val, value);
+            entries.emplace_hint(entries.end(), std::move(key), std::move(value));
+        }
+    }
+};
+
+template<typename Type>
+void pack(msgpack::packer<msgpack::sbuffer> &packer, const Type &value)
+{
+    Packer<Type>::pack(packer, value);
+}
+
+template<typename Type>
+void unpack(const msgpack::object &object, Type &value)
+{
+    Packer<Type>::unpack(object, value);
+}
+
+/** Bounds on what is unpacked from outside; none of them is reached by a valid record. */
+inline msgpack::unpack_limit unpackLimits(std::size_t bytes)
+{
+    constexpr std::size_t DepthMax = 16;
+    return {bytes, bytes, bytes, bytes, 0, DepthMax};
+}
+
+}
--- /dev/null
+++ b/libs/replica/tests/placeholder.cpp
@@ -0,0 +1,5 @@
+#include <boost/test/unit_test.hpp>
+
+BOOST_AUTO_TEST_CASE(placeholder)
+{
+}
--- /dev/null
+++ b/libs/settings/src/document.cpp
@@ -0,0 +1,318 @@
+#include "settings/document.h"
+
+#include "details/units.h"
+
+#include <yaml-cpp/yaml.h>
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+#include <set>
+
+namespace Cornelquay {
+
+namespace {
+
+constexpr std::size_t NameLengthMax = 64;
+
+/** Nesting that no valid document needs; bounds the recursion over input from outside. */
+constexpr int DepthMax = 32;
+
+bool isNameCharacter(char c)
+{
+    return std::isalnum(static_cast<unsigned char>(c)) != 0 || c == '-' || c == '_' || c == '.';
+}
+
+SourcePlace placeOf(const std::string &file, const YAML::Mark &mark)
+{
+    if (mark.is_null()) {
+        return {file, 0, 0};
+    }
+    return {file, mark.line + 1, mark.column + 1};
+}
+
+// yaml-cpp keeps duplicate keys silently, so they are looked for here.
+void findDuplicateKeys(const std::string &file, const YAML::Node &node, int depth, Findings &findings)
+{
+    if (depth > DepthMax) {
+        findings.add(placeOf(file, node.Mark()), "nested too deeply", "at most " + std::to_string(DepthMax) + " levels are read");
+        return;
+    }
+    if (node.IsSequence()) {
+        for (const YAML::Node &item : node) {
+            findDuplicateKeys(file, item, depth + 1, findings);
+        }
+        return;
+    }
+    if (!node.IsMap()) {
+        return;
+    }
+    std::set<std::string> seen;
+    for (const auto &entry : node) {
+        if (!entry.first.IsScalar()) {
+            findings.add(placeOf(file, entry.first.Mark()), "a key must be plain text", "write the key as one word");
+            continue;
+        }
+        if (!seen.insert(entry.first.Scalar()).second) {
+            findings.add(placeOf(file, entry.first.Mark()), "duplicate key '" + entry.first.Scalar() + "'", "keep one of them");
+        }
+        findDuplicateKeys(file, entry.second, depth + 1, findings);
+    }
+}
+
+}
+
+struct Element::Impl {
+    YAML::Node node;
+    bool present = false;
+    std::string file;
+    std::string path;
+    Findings *findings = nullptr;
+};
+
+Element::Element(std::shared_ptr<const Impl> impl)
+    : m_impl(std::move(impl))
+{
+}
+
+bool Element::isPresent() const
+{
+    return m_impl->present;
+}
+
+SourcePlace Element::place() const
+{
+    return placeOf(m_impl->file, m_impl->node.Mark());
+}
+
+void Element::report(std::string problem, std::string remedy) const
+{
+    const std::string where = m_impl->path.empty() ? std::string() : "'" + m_impl->path + "': ";
+    m_impl->findings->add(place(), where + std::move(problem), std::move(remedy));
+}
+
+Element Element::child(std::string_view key, Presence presence) const
+{
+    auto impl = std::make_shared<Impl>();
+    impl->file = m_impl->file;
+    impl->findings = m_impl->findings;
+    impl->path = m_impl->path.empty() ? std::string(key) : m_impl->path + '.' + std::string(key);
+    if (!m_impl->present) {
+        return Element(std::move(impl));
+    }
+    if (!m_impl->node.IsMap()) {
+        if (presence == Presence::Required) {
+            report("must be a map with the key '" + std::string(key) + "'", "write 'key: value' lines");
+        }
+        return Element(std::move(impl));
+    }
+    for (const auto &entry : m_impl->node) {
+        if (entry.first.IsScalar() && entry.first.Scalar() == key) {
+            impl->node = entry.second;
+            impl->present = true;
+            return Element(std::move(impl));
+        }
+    }
+    if (presence == Presence::Required) {
+        report("the key '" + std::string(key) + "' is missing", "add it");
+    }
+    return Element(std::move(impl));
+}
+
+void Element::allowKeys(std::initializer_list<std::string_view> keys) const
+{
+    if (!m_impl->present) {
+        return;
+    }
+    if (!m_impl->node.IsMap()) {
+        report("must be a map", "write 'key: value' lines");
+        return;
+    }
+    std::string known;
+    for (std::string_view key : keys) {
+        known += known.empty() ? std::string(key) : ", " + std::string(key);
+    }
+    for (const auto &entry : m_impl->node) {
+        if (!entry.first.IsScalar()) {
+            continue;
+        }
+        const std::string &key = entry.first.Scalar();
+        if (std::find(keys.begin(), keys.end(), key) == keys.end()) {
+            m_impl->findings->add(placeOf(m_impl->file, entry.first.Mark()), "unknown key '" + key + "'", "known here: " + known);
+        }
+    }
+}
+
+std::vector<Element> Element::items() const
+{
+    std::vector<Element> result;
+    if (!m_impl->present) {
+        return result;
+    }
+    if (!m_impl->node.IsSequence()) {
+        report("must be a list", "write '- item' lines or [a, b]");
+        return result;
+    }
+    for (const YAML::Node &item : m_impl->node) {
+        auto impl = std::make_shared<Impl>();
+        impl->node = item;
+        impl->present = true;
+        impl->file = m_impl->file;
+        impl->findings = m_impl->findings;
+        impl->path = m_impl->path + '[' + std::to_string(result.size()) + ']';
+        result.push_back(Element(std::move(impl)));
+    }
+    return result;
+}
+
+std::string Element::text(std::string fallback) const
+{
+    if (!m_impl->present) {
+        return fallback;
+    }
+    if (!m_impl->node.IsScalar()) {
+        report("must be text", "write one value");
+        return fallback;
+    }
+    return m_impl->node.Scalar();
+}
+
+std::string Element::name() const
+{
+    std::string value = text();
+    if (!m_impl->present || !m_impl->node.IsScalar()) {
+        return value;
+    }
+    if (value.empty() || value.size() > NameLengthMax || !std::all_of(value.begin(), value.end(), isNameCharacter)) {
+        report("'" + value.substr(0, NameLengthMax) + "' is not a name", "use 1 to 64 letters, digits, '-', '_' or '.'");
+    }
+    return value;
+}
+
+std::int64_t Element::integer(std::int64_t least, std::int64_t most, std::int64_t fallback) const
+{
+    if (!m_impl->present) {
+        return fallback;
+    }
+    const std::string value = text();
+    std::int64_t number = 0;
+    const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), number);
+    if (error != std::errc() || end != value.data() + value.size() || number < least || number > most) {
+        report("'" + value + "' is not allowed", "write a whole number from " + std::to_string(least) + " to " + std::to_string(most));
+        return fallback;
+    }
+    return number;
+}
+
+double Element::real(double least, double most, double fallback) const
+{
+    if (!m_impl->present) {
+        return fallback;
+    }
+    const std::string value = text();
+    const std::optional<double> number = Details::parseReal(value);
+    if (!number || *number < least || *number > most) {
+        report("'" + value + "' is not allowed", "write a number from " + Details::formatReal(least) + " to " + Details::formatReal(most));
+        return fallback;
+    }
+    return *number;
+}
+
+bool Element::boolean(bool fallback) const
+{
+    if (!m_impl->present) {
+        return fallback;
+    }
+    const std::string value = text();
+    if (value != "true" && value != "false") {
+        report("'" + value + "' is not allowed", "write true or false");
+        return fallback;
+    }
+    return value == "true";
+}
+
+double Element::fraction(double fallback) const
+{
+    if (!m_impl->present) {
+        return fallback;
+    }
+    const std::string value = text();
+    const std::optional<double> share = Details::parsePercentage(value);
+    if (!share) {
+        report("'" + value + "' is not a percentage", "write 0% to 100%, such as 30%");
+        return fallback;
+    }
+    return *share;
+}
+
+std::chrono::milliseconds Element::duration(std::chrono::milliseconds least, std::chrono::milliseconds most, std::chrono::milliseconds fallback) const
+{
+    if (!m_impl->present) {
+        return fallback;
+    }
+    const std::string value = text();
+    const std::optional<std::chrono::milliseconds> span = Details::parseDuration(value);
+    if (!span) {
+        report("'" + value + "' is not a time span", "write a number with ms, s, min, h or d, such as 250ms");
+        return fallback;
+    }
+    if (*span < least || *span > most) {
+        report("'" + value + "' is out of range", "write " + std::to_string(least.count()) + "ms to " + std::to_string(most.count()) + "ms");
+        return fallback;
+    }
+    return *span;
+}
+
+std::uint64_t Element::bytes(std::uint64_t least, std::uint64_t most, std::uint64_t fallback) const
+{
+    if (!m_impl->present) {
+        return fallback;
+    }
+    const std::string value = text();
+    const std::optional<std::uint64_t> size = Details::parseBytes(value);
+    if (!size) {
+        report("'" + value + "' is not a size", "write a number with B, KiB, MiB, GiB or TiB, such as 4GiB");
+        return fallback;
+    }
+    if (*size < least || *size > most) {
+        report("'" + value + "' is out of range", "write " + std::to_string(least) + "B to " + std::to_string(most) + "B");
+        return fallback;
+    }
+    return *size;
+}
+
+Document::Document(std::string fileName, const std::string &text)
+    : m_findings(std::make_unique<Findings>())
+{
+    auto impl = std::make_shared<Element::Impl>();
+    impl->file = std::move(fileName);
+    impl->findings = m_findings.get();
+    try {
+        impl->node = YAML::Load(text);
+        impl->present = impl->node.IsDefined() && !impl->node.IsNull();
+        if (impl->present) {
+            findDuplicateKeys(impl->file, impl->node, 0, *m_findings);
+        } else {
+            m_findings->add({impl->file, 0, 0}, "the document is empty", "see the samples folder for a complete one");
+        }
+    } catch (const YAML::Exception &error) {
+        m_findings->add(placeOf(impl->file, error.mark), "not valid YAML: " + error.msg, "correct the syntax");
+        impl->node = YAML::Node();
+        impl->present = false;
+    }
+    m_root = std::move(impl);
+}
+
+Document::~Document() = default;
+
+Element Document::root() const
+{
+    return Element(m_root);
+}
+
+Findings &Document::findings()
+{
+    return *m_findings;
+}
+
+}
--- /dev/null
+++ b/libs/timing/src/instant.cpp
@@ -0,0 +1,37 @@
+#include "timing/instant.h"
+
+#include <algorithm>
+
+namespace Cornelquay {
+
+WallTime wallNow()
+{
+    return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+}
+
+SteadyTime steadyNow()
+{
+    return std::chrono::steady_clock::now();
+}
+
+std::int64_t toUnixMilliseconds(WallTime time)
+{
+    return time.time_since_epoch().count();
+}
+
+WallTime fromUnixMilliseconds(std::int64_t milliseconds)
+{
+    return WallTime(std::chrono::milliseconds(milliseconds));
+}
+
+std::chrono::milliseconds remaining(SteadyTime deadline, SteadyTime now)
+{
+    return std::max(std::chrono::milliseconds(0), std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now));
+}
+
+SteadyTime toSteady(WallTime deadline, WallTime wall, SteadyTime steady)
+{
+    return steady + (deadline - wall);
+}
+
+}
--- /dev/null
+++ b/tools/cornelquay-load/main.cpp
@@ -0,0 +1,194 @@
+#include "load/report.h"
+
+#include <getopt.h>
+
+#include <charconv>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+
+using namespace Cornelquay;
+
+namespace {
+
+enum ExitCode {
+    ExitSuccess = 0,
+    ExitFailure = 1,
+    ExitUsage = 2,
+};
+
+constexpr const char *Usage = "usage: cornelquay-load --target ADDRESS... --team NAME=KEY[=WEIGHT]... --service NAME... [options]\n"
+                              "Sends a seeded schedule of requests and checks every answer.\n"
+                              "  --requests N        how many (1000)\n"
+                              "  --rate N            a second; 0 for as fast as answers come (0)\n"
+                              "  --threads N         callers at once (16)\n"
+                              "  --seed N            of the schedule (1)\n"
+                              "  --idempotent F      fraction of idempotent requests (0.5)\n"
+                              "  --urgent F          fraction of urgent requests (0.1)\n"
+                              "  --copies N          nodes that get the same request at once (1)\n"
+                              "  --skew F            fraction that goes to the first target (0)\n"
+                              "  --run-ms N          run time asked of the stand-in's workers (0)\n"
+                              "  --deadline-ms N     of each request (10000)\n"
+                              "  --payload-bytes N   of each request (64)\n"
+                              "  --prefix TEXT       of the request ids (load)\n"
+                              "  --ledger ADDRESS    a stand-in whose run counts the answers are held against\n"
+                              "  --records FILE      one line of JSON for each request\n"
+                              "Prints a summary as one line of JSON. Ends early on SIGTERM.\n";
+
+/** What the command line asks for. */
+struct Options {
+    LoadSettings load;
+    std::optional<Address> ledger;
+    std::string recordsFile;
+};
+
+std::atomic<bool> stopping = false; // NOLINT: set by the signal handler
+
+template<typename Number>
+Number number(const std::string &text)
+{
+    Number value{};
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+bool addTeam(const std::string &text, LoadSettings &settings)
+{
+    const std::size_t first = text.find('=');
+    if (first == std::string::npos) {
+        return false;
+    }
+    const std::size_t second = text.find('=', first + 1);
+    LoadTeam team;
+    team.name = text.substr(0, first);
+    team.key = text.substr(first + 1, second == std::string::npos ? second : second - first - 1);
+    team.weight = second == std::string::npos ? 1 : number<double>(text.substr(second + 1));
+    settings.teams.push_back(std::move(team));
+    return true;
+}
+
+bool addTarget(const std::string &text, LoadSettings &settings)
+{
+    const std::optional<Address> address = parseAddress(text);
+    if (address) {
+        settings.targets.push_back(*address);
+    }
+    return address.has_value();
+}
+
+bool parseOptions(int argc, char **argv, Options &options)
+{
+    const option longOptions[] = {{"target", required_argument, nullptr, 't'},
+                                  {"team", required_argument, nullptr, 'T'},
+                                  {"service", required_argument, nullptr, 's'},
+                                  {"requests", required_argument, nullptr, 'n'},
+                                  {"rate", required_argument, nullptr, 'r'},
+                                  {"threads", required_argument, nullptr, 'c'},
+                                  {"seed", required_argument, nullptr, 'S'},
+                                  {"idempotent", required_argument, nullptr, 'i'},
+                                  {"urgent", required_argument, nullptr, 'u'},
+                                  {"copies", required_argument, nullptr, 'C'},
+                                  {"skew", required_argument, nullptr, 'k'},
+                                  {"run-ms", required_argument, nullptr, 'm'},
+                                  {"deadline-ms", required_argument, nullptr, 'd'},
+                                  {"payload-bytes", required_argument, nullptr, 'p'},
+                                  {"prefix", required_argument, nullptr, 'x'},
+                                  {"ledger", required_argument, nullptr, 'l'},
+                                  {"records", required_argument, nullptr, 'f'},
+                                  {nullptr, 0, nullptr, 0}};
+    LoadSettings &load = options.load;
+    int choice = 0;
+    while ((choice = getopt_long(argc, argv, "", longOptions, nullptr)) != -1) { // NOLINT(concurrency-mt-unsafe)
+        const std::string value = optarg == nullptr ? "" : optarg;
+        switch (choice) {
+        case 't':
+            if (!addTarget(value, load)) {
+                return false;
+            }
+            break;
+        case 'T':
+            if (!addTeam(value, load)) {
+                return false;
+            }
+            break;
+        case 's':
+            load.services.push_back(value);
+            break;
+        case 'n':
+            load.requests = number<std::size_t>(value);
+            break;
+        case 'r':
+            load.rate = number<double>(value);
+            break;
+        case 'c':
+            load.threads = number<std::size_t>(value);
+            break;
+        case 'S':
+            load.seed = number<std::uint64_t>(value);
+            break;
+        case 'i':
+            load.idempotentFraction = number<double>(value);
+            break;
+        case 'u':
+            load.urgentFraction = number<double>(value);
+            break;
+        case 'C':
+            load.copies = number<std::size_t>(value);
+            break;
+        case 'k':
+            load.skew = number<double>(value);
+            break;
+        case 'm':
+            load.runTime = std::chrono::milliseconds(number<int>(value));
+            break;
+        case 'd':
+            load.deadline = std::chrono::milliseconds(number<int>(value));
+            break;
+        case 'p':
+            load.payloadBytes = number<std::size_t>(value);
+            break;
+        case 'x':
+            load.idPrefix = value;
+            break;
+        case 'l':
+            options.ledger = parseAddress(value);
+            break;
+        case 'f':
+            options.recordsFile = value;
+            break;
+        default:
+            return false;
+        }
+    }
+    return optind == argc && !load.targets.empty() && !load.teams.empty() && !load.services.empty();
+}
+
+}
+
+int main(int argc, char **argv)
+{
+    Options options;
+    if (!parseOptions(argc, argv, options)) {
+        std::cerr << Usage;
+        return ExitUsage;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGTERM, [](int) {
+        stopping = true;
+    });
+    const std::vector<PlannedRequest> plan = makePlan(options.load);
+    const std::vector<CallRecord> records = runPlan(options.load, plan, stopping);
+    std::optional<RunCounts> runs;
+    if (options.ledger) {
+        runs = readRunCounts(*options.ledger);
+        if (!runs) {
+            std::cerr << "cornelquay-load: the stand-in does not tell its run counts\n";
+            return ExitFailure;
+        }
+    }
+    if (!options.recordsFile.empty()) {
+        std::ofstream(options.recordsFile) << toJsonLines(plan, records);
+    }
+    std::cout << toJson(summarize(options.load, plan, records, runs)) << std::endl;
+    return ExitSuccess;
+}
