Let nodes talk: authenticated HTTP/2 streams, relays, loans of limits, removal of silent nodes

Cause: nodes knew nothing of each other; an operator's change could not be reported as in force, and a team whose requests reached one node could use only that node's part of its limit. Change: a mesh over nghttp2 with a shared-secret handshake and sealed messages; an exchange a second between each two nodes carries positions in the log, missing entries, loads and loans. Conclusion: changes are reported as in force on every node; parts of limits move without appends.

--- a/cornelquay/src/details/dispatcher.h
+++ b/cornelquay/src/details/dispatcher.h
@@ -42,7 +42,7 @@
                Upstreams &upstreams,
                ClaimWriter &claims,
                RetryBudget &retries,
-               std::function<bool()> mayRenew,
+               std::function<bool(const std::string &team)> mayRenew,
                Metrics &metrics);
 
     Outcome run(const WorkOrder &order);
@@ -70,7 +70,7 @@
     Upstreams &m_upstreams;
     ClaimWriter &m_claims;
     RetryBudget &m_retries;
-    std::function<bool()> m_mayRenew;
+    std::function<bool(const std::string &team)> m_mayRenew;
     Counter m_retriesTotal;
     Counter m_joinsTotal;
     LatencyHistogram m_queueSeconds;
--- a/cornelquay/src/details/operatorserver.h
+++ b/cornelquay/src/details/operatorserver.h
@@ -21,6 +21,8 @@
     std::function<ViewState()> viewState;
     /** Offsets that the other present nodes have folded up to, by name; absent if not heard of. */
     std::function<std::map<std::string, Offset>()> peerOffsets;
+    /** Asks the other nodes for their offsets now. */
+    std::function<void()> hastenPeers;
     /** Whether the node takes part. */
     std::function<bool()> isReady;
 };
--- /dev/null
+++ b/cornelquay/src/details/peermessages.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "details/loans.h"
+#include "platform/logservice.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Cornelquay::Details {
+
+/** How current a node is, as it tells others. Ages are in milliseconds; negative: never. */
+struct PeerPosition {
+    Offset next = 0;
+    /** Since its view was last confirmed to hold everything in the log. */
+    std::int64_t viewAge = -1;
+    /** Since it last read the log itself. */
+    std::int64_t logReadAge = -1;
+
+    auto fields()
+    {
+        return std::tie(next, viewAge, logReadAge);
+    }
+};
+
+/** What a node uses and has to spare, for fair turns and loans. */
+struct PeerLoad {
+    /** Cost in use, by pool and team. */
+    std::map<std::string, std::map<std::string, double>> use;
+    /** Permits that are free, by team; teams without any are left out. */
+    std::map<std::string, std::int64_t> spare;
+
+    auto fields()
+    {
+        return std::tie(use, spare);
+    }
+};
+
+/** What one node says to another, about once a second. */
+struct PeerRequest {
+    /** Grows with each request from this node to that one. */
+    std::uint64_t sequence = 0;
+    PeerPosition position;
+    std::vector<LoanAsk> asks;
+
+    auto fields()
+    {
+        return std::tie(sequence, position, asks);
+    }
+};
+
+/** A log entry passed on between nodes. */
+struct RelayedEntry {
+    Offset offset = 0;
+    std::int64_t appendedAt = 0;
+    std::string bytes;
+
+    auto fields()
+    {
+        return std::tie(offset, appendedAt, bytes);
+    }
+};
+
+/** The answer to a PeerRequest. */
+struct PeerReply {
+    std::uint64_t sequence = 0;
+    PeerPosition position;
+    PeerLoad load;
+    std::vector<LoanGrant> grants;
+    /** Entries that the other node does not have yet. */
+    std::vector<RelayedEntry> entries;
+
+    auto fields()
+    {
+        return std::tie(sequence, position, load, grants, entries);
+    }
+};
+
+std::string encode(const PeerRequest &request);
+std::string encode(const PeerReply &reply);
+/** Nothing if the bytes are malformed. */
+std::optional<PeerRequest> decodePeerRequest(std::string_view bytes);
+std::optional<PeerReply> decodePeerReply(std::string_view bytes);
+
+}
--- a/cornelquay/src/dispatcher.cpp
+++ b/cornelquay/src/dispatcher.cpp
@@ -91,7 +91,7 @@
                        Upstreams &upstreams,
                        ClaimWriter &claims,
                        RetryBudget &retries,
-                       std::function<bool()> mayRenew,
+                       std::function<bool(const std::string &team)> mayRenew,
                        Metrics &metrics)
     : m_replica(replica)
     , m_services(services)
@@ -163,8 +163,11 @@
     const UpstreamSlot &slot = ticket.slot;
     const SteadyTime begun = steadyNow();
     WorkerReport report;
-    TaskOutcome outcome
-        = slot.exchange->run({taskId, order.requestId, order.team, order.service, order.payload, ticket.grantedAt, m_mayRenew}, order.deadline, report);
+    const auto mayRenew = [this, &order] {
+        return m_mayRenew(order.team);
+    };
+    const Task task{taskId, order.requestId, order.team, order.service, order.payload, ticket.grantedAt, mayRenew};
+    TaskOutcome outcome = slot.exchange->run(task, order.deadline, report);
     const SteadyTime ended = steadyNow();
     m_upstreams.giveBack(slot, attemptResult(outcome), report, ended);
     m_taskSeconds.observe(seconds(begun, ended));
--- a/cornelquay/src/node.cpp
+++ b/cornelquay/src/node.cpp
@@ -5,6 +5,7 @@
 #include "details/keyring.h"
 #include "details/limitkeeper.h"
 #include "details/operatorserver.h"
+#include "details/peerkeeper.h"
 #include "telemetry/log.h"
 
 #include <atomic>
@@ -46,6 +47,7 @@
     Details::Dispatcher dispatcher;
     Details::InstanceKeeper instances;
     Details::LimitKeeper limits;
+    Details::PeerKeeper peers;
     Details::CallerServer callers;
     Details::OperatorServer operators;
 
@@ -62,6 +64,7 @@
     void refresh();
     void keepJoined();
     void join();
+    Details::PeerKeeperServices peerServices();
     Details::CallerServices callerServices();
     Details::OperatorServices operatorServices();
 };
@@ -88,12 +91,13 @@
           upstreams,
           claims,
           retries,
-          [this] {
-              return mayAcceptWork();
+          [this](const std::string &team) {
+              return mayAcceptWork() && !admission.isOverLimit(team);
           },
           metrics)
     , instances(*replica, platform, upstreams, self, metrics)
     , limits(*replica, admission, self)
+    , peers(peerServices())
     , callers(settings, callerServices(), metrics)
     , operators(settings, operatorServices())
 {
@@ -104,7 +108,7 @@
 
 Details::ViewState Node::Impl::viewState() const
 {
-    return Details::judgeView(replica->condition(), replica->confirmedAt(), {}, steadyNow());
+    return Details::judgeView(replica->condition(), replica->confirmedAt(), peers.view(), steadyNow());
 }
 
 bool Node::Impl::mayAcceptWork() const
@@ -117,6 +121,21 @@
     return joined && !stopping;
 }
 
+Details::PeerKeeperServices Node::Impl::peerServices()
+{
+    Details::PeerKeeperServices result;
+    result.replica = replica.get();
+    result.admission = &admission;
+    result.metrics = &metrics;
+    result.self = self;
+    result.address = settings.peerAddress;
+    result.secret = settings.peerSecret;
+    result.mayAcceptWork = [this] {
+        return mayAcceptWork();
+    };
+    return result;
+}
+
 Details::CallerServices Node::Impl::callerServices()
 {
     Details::CallerServices result;
@@ -150,8 +169,11 @@
     result.viewState = [this] {
         return viewState();
     };
-    result.peerOffsets = [] {
-        return std::map<std::string, Offset>();
+    result.peerOffsets = [this] {
+        return peers.offsets(steadyNow());
+    };
+    result.hastenPeers = [this] {
+        peers.hasten();
     };
     result.isReady = [this] {
         return isReady();
@@ -180,6 +202,7 @@
     admission.configure(*configuration);
     limits.refreshPermits();
     instances.refreshUpstreams();
+    peers.refreshPeers();
 }
 
 // A node that others took for dead joins again under the same incarnation's successor rules: it
@@ -202,7 +225,8 @@
     if (!replica->waitUntilReady(steadyNow() + JoinCheckInterval)) {
         return;
     }
-    const NodeJoined body{self.name, self.number, toText(settings.peerAddress), settings.zone};
+    const Address peerAddress{settings.peerAddress.host, peers.port()};
+    const NodeJoined body{self.name, self.number, toText(peerAddress), settings.zone};
     replica->propose(body, self.name, "started", steadyNow() + JoinTimeout);
     bool present = false;
     replica->query([&](const FleetState &state) {
@@ -229,6 +253,9 @@
     if (!node->m_impl->operators.isBound()) {
         return tl::make_unexpected("the operators' address " + toText(node->m_impl->settings.operators.address) + " cannot be bound");
     }
+    if (!node->m_impl->peers.isBound()) {
+        return tl::make_unexpected("the peers' address " + toText(node->m_impl->settings.peerAddress) + " cannot be bound");
+    }
     return node;
 }
 
@@ -247,6 +274,7 @@
     m_impl->replica->start();
     m_impl->instances.start();
     m_impl->limits.start();
+    m_impl->peers.start();
     m_impl->operators.start();
     m_impl->callers.start();
     m_impl->joiner = std::thread([this] {
@@ -274,6 +302,7 @@
     if (m_impl->joined) {
         m_impl->replica->propose(NodeLeft{m_impl->self.name, m_impl->self.number}, m_impl->self.name, "stopped", steadyNow() + LeaveTimeout);
     }
+    m_impl->peers.stop();
     m_impl->operators.stop();
     m_impl->replica->stop();
     logChange("node", "stopped");
--- a/cornelquay/src/operatorserver.cpp
+++ b/cornelquay/src/operatorserver.cpp
@@ -334,6 +334,7 @@
     constexpr auto PollInterval = 20ms;
     const SteadyTime deadline = steadyNow() + InForceTimeout;
     while (true) {
+        services.hastenPeers();
         const std::map<std::string, Offset> offsets = services.peerOffsets();
         std::vector<std::string> pending;
         services.replica->query([&](const FleetState &state) {
--- a/libs/admission/include/admission/admission.h
+++ b/libs/admission/include/admission/admission.h
@@ -115,6 +115,8 @@
     std::map<std::string, PoolLoad> load() const;
     std::map<std::string, TeamLoad> teams() const;
     std::size_t waiting() const;
+    /** Whether @p team runs more on this node than its permits allow, as after a lost loan. */
+    bool isOverLimit(const std::string &team) const;
     /** An estimate of when a queue of the present length has moved on. */
     std::chrono::milliseconds retryAfter(const std::string &pool) const;
 
--- a/libs/admission/src/admission.cpp
+++ b/libs/admission/src/admission.cpp
@@ -323,6 +323,12 @@
     return m_impl->waiters.size();
 }
 
+bool Admission::isOverLimit(const std::string &team) const
+{
+    const std::lock_guard lock(m_impl->mutex);
+    return m_impl->teamLimits.available(team, steadyNow()) < 0;
+}
+
 std::chrono::milliseconds Admission::retryAfter(const std::string &pool) const
 {
     const std::lock_guard lock(m_impl->mutex);
--- /dev/null
+++ b/libs/peering/src/dialler.cpp
@@ -0,0 +1,124 @@
+#include "details/dialler.h"
+
+namespace Cornelquay::Details {
+
+Dialler::Dialler(DiallerContext &context, PeerEndpoint peer)
+    : m_context(context)
+    , m_peer(std::move(peer))
+{
+}
+
+const PeerEndpoint &Dialler::peer() const
+{
+    return m_peer;
+}
+
+void Dialler::send(std::string body, std::chrono::milliseconds timeout, PeerMesh::ReplyHandler onReply)
+{
+    auto call = std::make_shared<Call>();
+    call->body = std::move(body);
+    call->onReply = std::move(onReply);
+    call->timer = std::make_unique<asio::steady_timer>(m_context.io, timeout);
+    call->timer->async_wait([self = shared_from_this(), call](const asio::error_code &error) {
+        if (error || call->done) {
+            return;
+        }
+        // No reply in time: whatever is between the two nodes may have lost track of the connection.
+        self->m_context.silentTotal.increment();
+        self->drop();
+        finish(call, std::nullopt);
+    });
+    if (m_session && m_key) {
+        transmit(call);
+    } else {
+        drop();
+        dial(call);
+    }
+}
+
+void Dialler::dial(const CallPointer &call)
+{
+    asio::error_code error;
+    const asio::ip::address ip = asio::ip::make_address(m_peer.address.host, error);
+    if (error) {
+        finish(call, std::nullopt);
+        return;
+    }
+    m_dialling = std::make_shared<asio::ip::tcp::socket>(m_context.io);
+    const auto socket = m_dialling;
+    socket->async_connect({ip, m_peer.address.port}, [self = shared_from_this(), socket, call](const asio::error_code &failure) {
+        if (failure || call->done || self->m_dialling != socket) {
+            finish(call, std::nullopt);
+            return;
+        }
+        self->m_context.connectsTotal.increment();
+        self->m_dialling = nullptr;
+        self->m_session = std::make_shared<Http2Session>(std::move(*socket), Http2Session::Role::Dialler, self->m_context.wireBytes, nullptr, nullptr);
+        self->m_session->start();
+        self->greet(call);
+    });
+}
+
+void Dialler::greet(const CallPointer &call)
+{
+    const Hello hello{m_context.self, newNonce()};
+    m_session->request("/hello", encode(hello), [self = shared_from_this(), session = m_session, hello, call](std::optional<std::string> body) {
+        const std::optional<HelloReply> reply = body ? decodeHelloReply(*body) : std::nullopt;
+        const bool expected = reply && reply->from == self->m_peer.node && isProven(self->m_context.secret, hello, *reply);
+        if (!expected || self->m_session != session) {
+            if (self->m_session == session) {
+                self->drop();
+            }
+            finish(call, std::nullopt);
+            return;
+        }
+        self->m_key = deriveKey(self->m_context.secret, hello, reply->from, reply->nonce);
+        self->m_lastNumber = 0;
+        self->transmit(call);
+    });
+}
+
+void Dialler::transmit(const CallPointer &call)
+{
+    const std::uint64_t number = ++m_lastNumber;
+    std::string sealed = seal(*m_key, Direction::Request, number, call->body);
+    m_session->request("/message", std::move(sealed), [self = shared_from_this(), session = m_session, key = *m_key, number, call](std::optional<std::string> body) {
+        std::optional<std::string> reply = body ? unseal(key, Direction::Reply, number, *body) : std::nullopt;
+        if (!reply && self->m_session == session) {
+            self->drop();
+        }
+        finish(call, std::move(reply));
+    });
+}
+
+void Dialler::drop()
+{
+    m_dialling = nullptr;
+    m_key.reset();
+    if (!m_session) {
+        return;
+    }
+    const std::shared_ptr<Http2Session> session = std::move(m_session);
+    m_session = nullptr;
+    // Closing calls back into pending requests, which must not meet this session again.
+    asio::post(m_context.io, [session] {
+        session->close();
+    });
+}
+
+void Dialler::close()
+{
+    drop();
+}
+
+void Dialler::finish(const CallPointer &call, std::optional<std::string> reply)
+{
+    if (call->done) {
+        return;
+    }
+    call->done = true;
+    call->timer->cancel();
+    call->onReply(std::move(reply));
+}
+
+}
--- a/libs/platform/src/platformservice.cpp
+++ b/libs/platform/src/platformservice.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::size_t ConnectionsMax = 8;
 constexpr int StatusOk = 200;
+constexpr int StatusNotModified = 304;
 constexpr int StatusUnavailable = 503;
 constexpr int StatusClientErrorFirst = 400;
 constexpr int StatusClientErrorLast = 499;
@@ -83,6 +84,10 @@
     }
 
     HttpClients clients;
+    std::mutex mutex;
+    /** The list as last read, and its entity tag: an unchanged list is not sent again. */
+    std::vector<ListedInstance> list;
+    std::string listVersion;
 };
 
 PlatformService::PlatformService(Address address)
@@ -98,11 +103,24 @@
     if (!client) {
         return tl::make_unexpected(PlatformError::NotDone);
     }
-    const httplib::Result result = client->Get("/instances");
+    std::string version;
+    {
+        const std::lock_guard lock(m_impl->mutex);
+        version = m_impl->listVersion;
+    }
+    httplib::Headers headers;
+    if (!version.empty()) {
+        headers.emplace("If-None-Match", version);
+    }
+    const httplib::Result result = client->Get("/instances", headers);
     if (!result) {
         return tl::make_unexpected(PlatformError::NotDone);
     }
     m_impl->clients.giveBack(std::move(client));
+    const std::lock_guard lock(m_impl->mutex);
+    if (result->status == StatusNotModified && version == m_impl->listVersion) {
+        return m_impl->list;
+    }
     if (result->status != StatusOk) {
         return tl::make_unexpected(PlatformError::NotDone);
     }
@@ -110,7 +128,9 @@
     if (!instances) {
         return tl::make_unexpected(PlatformError::NotDone);
     }
-    return std::move(*instances);
+    m_impl->list = std::move(*instances);
+    m_impl->listVersion = result->get_header_value("ETag");
+    return m_impl->list;
 }
 
 tl::expected<void, PlatformError> PlatformService::drain(const FencedCommand &command, SteadyTime deadline)
--- a/libs/standin/src/platformserver.cpp
+++ b/libs/standin/src/platformserver.cpp
@@ -16,6 +16,7 @@
 using Json = nlohmann::json;
 
 constexpr int StatusOk = 200;
+constexpr int StatusNotModified = 304;
 constexpr int StatusBadRequest = 400;
 constexpr int StatusNotFound = 404;
 constexpr int StatusConflict = 409;
@@ -246,7 +247,7 @@
 void PlatformServer::Impl::addPlatformHandlers()
 {
     httplib::Server &server = platform.server();
-    server.Get("/instances", [this](const httplib::Request &, httplib::Response &response) {
+    server.Get("/instances", [this](const httplib::Request &request, httplib::Response &response) {
         if (listDown) {
             response.status = StatusUnavailable;
             return;
@@ -256,6 +257,12 @@
         for (const ListedInstance &instance : fleet.listed()) {
             body["instances"].push_back(listing(instance));
         }
+        const std::string version = '"' + std::to_string(std::hash<std::string>()(body.dump())) + '"';
+        response.set_header("ETag", version);
+        if (request.get_header_value("If-None-Match") == version) {
+            response.status = StatusNotModified;
+            return;
+        }
         writeJson(response, body);
     });
     server.Post("/instances/([A-Za-z0-9._-]+)/(drain|reboot|resume)", [this](const httplib::Request &request, httplib::Response &response) {
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -64,7 +64,7 @@
 zone: $zone
 callers: {address: "127.0.0.1:0", threads: ${CALLER_THREADS:-256}, plain: true}
 operators-listener: {address: "127.0.0.1:0", plain: true}
-peer-address: "127.0.0.1:${PEER_PORTS[$index]:-1}"
+peer-address: "127.0.0.1:0"
 peer-secret: loopback-secret-0123456789
 log: "127.0.0.1:${LOG_PORTS[$index]}"
 platform: "127.0.0.1:$PLATFORM_PORT"
