--- /dev/null
+++ b/libs/admission/tests/fairqueuetest.cpp
@@ -0,0 +1,147 @@
+#include "admission/fairqueue.h"
+#include "admission/teamlimits.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Cornelquay;
+using namespace std::chrono_literals;
+
+namespace {
+
+bool always(const std::string &)
+{
+    return true;
+}
+
+void fill(FairQueue &queue, const std::string &team, int count, SteadyTime now, Urgency urgency = Urgency::Normal)
+{
+    static std::uint64_t lastId = 0;
+    for (int index = 0; index < count; ++index) {
+        queue.push({++lastId, team, 0.01, urgency, now});
+    }
+}
+
+}
+
+BOOST_AUTO_TEST_CASE(turnsFollowTheShares)
+{
+    FairQueue queue;
+    queue.setShares({{"a", 0.6}, {"b", 0.3}, {"c", 0.1}});
+    const SteadyTime now = steadyNow();
+    for (const char *team : {"a", "b", "c"}) {
+        fill(queue, team, 100, now);
+    }
+    std::map<std::string, int> got;
+    for (int turn = 0; turn < 100; ++turn) {
+        got[queue.next(now, always)->team] += 1;
+    }
+    BOOST_TEST(std::abs(got["a"] - 60) <= 1);
+    BOOST_TEST(std::abs(got["b"] - 30) <= 1);
+    BOOST_TEST(std::abs(got["c"] - 10) <= 1);
+}
+
+BOOST_AUTO_TEST_CASE(unusedSharesAreLentAndComeBack)
+{
+    FairQueue queue;
+    queue.setShares({{"a", 0.5}, {"b", 0.5}});
+    const SteadyTime now = steadyNow();
+    fill(queue, "a", 40, now);
+    for (int turn = 0; turn < 20; ++turn) {
+        BOOST_TEST(queue.next(now, always)->team == "a");
+    }
+    fill(queue, "b", 20, now);
+    // The tasks under way are not cut off; each turn that comes free goes to "b" until it has its share.
+    for (int turn = 0; turn < 10; ++turn) {
+        queue.release("a", 0.01);
+        BOOST_TEST(queue.next(now, always)->team == "b");
+    }
+    BOOST_TEST(queue.use("a") == queue.use("b"), boost::test_tools::tolerance(1e-9));
+}
+
+BOOST_AUTO_TEST_CASE(useOnOtherNodesCounts)
+{
+    FairQueue queue;
+    queue.setShares({{"a", 0.5}, {"b", 0.5}});
+    queue.setRemoteUse({{"a", 0.2}});
+    const SteadyTime now = steadyNow();
+    fill(queue, "a", 30, now);
+    fill(queue, "b", 30, now);
+    for (int turn = 0; turn < 20; ++turn) {
+        BOOST_TEST(queue.next(now, always)->team == "b");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(urgentWorkGoesFirstWithinTheShareAndInTheEndAnyway)
+{
+    FairQueue queue;
+    queue.setShares({{"a", 0.5}, {"b", 0.5}});
+    const SteadyTime now = steadyNow();
+    queue.setRemoteUse({{"a", 0.5}, {"b", 0.1}});
+    fill(queue, "a", 1, now, Urgency::Urgent);
+    fill(queue, "b", 2, now);
+    BOOST_TEST(queue.next(now, always)->team == "b");
+    BOOST_TEST(queue.next(now + UrgentPatience, always)->team == "a");
+    queue.setRemoteUse({{"a", 0.1}, {"b", 0.5}});
+    fill(queue, "a", 1, now, Urgency::Urgent);
+    BOOST_TEST(queue.next(now, always)->team == "a");
+}
+
+BOOST_AUTO_TEST_CASE(aTeamWithoutPermitIsPassedOver)
+{
+    FairQueue queue;
+    queue.setShares({{"a", 0.9}, {"b", 0.1}});
+    const SteadyTime now = steadyNow();
+    fill(queue, "a", 1, now);
+    fill(queue, "b", 1, now);
+    const auto onlyB = [](const std::string &team) {
+        return team == "b";
+    };
+    BOOST_TEST(queue.next(now, onlyB)->team == "b");
+    BOOST_TEST(!queue.next(now, onlyB).has_value());
+    BOOST_TEST(queue.waiting() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(cancelledWorkLeavesNoTrace)
+{
+    FairQueue queue;
+    queue.setShares({{"a", 0.5}, {"b", 0.5}});
+    const SteadyTime now = steadyNow();
+    for (std::uint64_t id = 1000; id < 1100; ++id) {
+        queue.push({id, "a", 0.01, Urgency::Normal, now});
+    }
+    fill(queue, "b", 1, now);
+    for (std::uint64_t id = 1000; id < 1100; ++id) {
+        BOOST_TEST(queue.remove("a", id));
+    }
+    BOOST_TEST(!queue.remove("a", 1000));
+    BOOST_TEST(queue.next(now, always)->team == "b");
+    BOOST_TEST(queue.waiting() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(permitsNeverExceedTheParts)
+{
+    TeamLimits limits;
+    const SteadyTime now = steadyNow();
+    limits.setHeld("a", 2);
+    BOOST_TEST(limits.take("a", now));
+    BOOST_TEST(limits.take("a", now));
+    BOOST_TEST(!limits.take("a", now));
+    limits.setBorrowed("a", 1);
+    BOOST_TEST(limits.take("a", now));
+    limits.setBorrowed("a", 0);
+    BOOST_TEST(limits.available("a", now) == -1);
+    limits.giveBack("a");
+    limits.setLent("a", 1);
+    BOOST_TEST(!limits.take("a", now));
+}
+
+BOOST_AUTO_TEST_CASE(aPermitOfUnknownWorkComesBackWithItsLease)
+{
+    TeamLimits limits;
+    const SteadyTime now = steadyNow();
+    limits.setHeld("a", 1);
+    BOOST_TEST(limits.take("a", now));
+    limits.giveBackAt("a", now + 10s);
+    BOOST_TEST(!limits.take("a", now + 9s));
+    BOOST_TEST(limits.take("a", now + 10s));
+}
--- a/libs/load/include/load/plan.h
+++ b/libs/load/include/load/plan.h
@@ -16,9 +16,17 @@
     double weight = 1;
 };
 
+/** A worker that is called without any node between; for comparison. */
+struct DirectTarget {
+    Address address;
+    std::uint64_t incarnation = 0;
+};
+
 /** What to send. */
 struct LoadSettings {
     std::vector<Address> targets;
+    /** If not empty, these are called instead of the targets. */
+    std::vector<DirectTarget> direct;
     std::vector<LoadTeam> teams;
     std::vector<std::string> services;
     std::size_t requests = 1000;
--- a/libs/load/include/load/report.h
+++ b/libs/load/include/load/report.h
@@ -49,6 +49,12 @@
 /** The records as lines of JSON, one for each copy. */
 std::string toJsonLines(const std::vector<PlannedRequest> &plan, const std::vector<CallRecord> &records);
 
+/** The workers that a stand-in lists; empty if it does not answer. */
+std::vector<DirectTarget> readWorkers(const Address &standin);
+
+/** The summary as a table for a person. */
+std::string toText(const LoadSummary &summary);
+
 /** Reads the run counts from a stand-in; nothing if it does not answer. */
 std::optional<RunCounts> readRunCounts(const Address &standin);
 
--- a/libs/load/src/report.cpp
+++ b/libs/load/src/report.cpp
@@ -1,16 +1,21 @@
 #include "load/report.h"
 
+#include "platform/platformservice.h"
+
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <set>
+#include <iomanip>
+#include <sstream>
 
 namespace Cornelquay {
 
 namespace {
 
 using Json = nlohmann::ordered_json;
+constexpr std::chrono::seconds ReadTimeout{10};
+
 using Latencies = std::vector<std::chrono::microseconds>;
 
 std::chrono::microseconds quantile(Latencies &latencies, double part)
@@ -142,6 +147,42 @@
     return text;
 }
 
+std::vector<DirectTarget> readWorkers(const Address &standin)
+{
+    const PlatformService platform(standin);
+    const auto listed = platform.instances(steadyNow() + ReadTimeout);
+    std::vector<DirectTarget> workers;
+    if (listed) {
+        for (const ListedInstance &instance : *listed) {
+            workers.push_back({instance.address, instance.incarnation});
+        }
+    }
+    return workers;
+}
+
+std::string toText(const LoadSummary &summary)
+{
+    std::ostringstream text;
+    text << "Requests\n";
+    for (const auto &[result, count] : summary.results) {
+        text << "  " << std::left << std::setw(20) << result << count << '\n';
+    }
+    for (const auto &[reason, count] : summary.reasons) {
+        text << "    because of " << reason << ": " << count << '\n';
+    }
+    text << "Time to the answer (ms): median " << milliseconds(summary.latencyMedian) << ", p99 " << milliseconds(summary.latencyP99) << ", most "
+         << milliseconds(summary.latencyMost) << "\n";
+    text << "Broken promises: wrong answers " << summary.wrongAnswers << ", false refusals " << summary.falseRefusals << ", double runs " << summary.doubleRuns
+         << ", answers without a run " << summary.answersWithoutRun << "\n";
+    text << "Teams" << std::string(18, ' ') << "submitted  answered  refused  unknown  median ms  p99 ms\n";
+    for (const auto &[name, team] : summary.teams) {
+        text << "  " << std::left << std::setw(20) << name << std::right << std::setw(10) << team.submitted << std::setw(10) << team.answered << std::setw(9)
+             << team.notRun << std::setw(9) << team.unknown << std::fixed << std::setprecision(1) << std::setw(11) << milliseconds(team.latencyMedian)
+             << std::setw(8) << milliseconds(team.latencyP99) << std::defaultfloat << '\n';
+    }
+    return text.str();
+}
+
 std::optional<RunCounts> readRunCounts(const Address &standin)
 {
     httplib::Client client(standin.host, standin.port);
--- a/libs/load/src/runner.cpp
+++ b/libs/load/src/runner.cpp
@@ -1,8 +1,10 @@
 #include "load/runner.h"
 
+#include "records/identifiers.h"
 #include "standin/workerstandin.h"
 #include "timing/instant.h"
 #include "transport/httpclients.h"
+#include "upstream/taskexchange.h"
 
 #include <httplib.h>
 #include <nlohmann/json.hpp>
@@ -42,6 +44,9 @@
         for (const Address &target : settings.targets) {
             m_clients.push_back(std::make_unique<HttpClients>(target, ConnectionsPerTarget));
         }
+        for (const DirectTarget &target : settings.direct) {
+            m_workers.push_back(std::make_unique<TaskExchange>(target.address, target.incarnation, ConnectionsPerTarget, ExchangeLimits{}));
+        }
     }
 
     std::vector<CallRecord> run()
@@ -86,8 +91,30 @@
         }
     }
 
+    // Without a node the task goes round robin to the workers, in their own protocol.
+    CallRecord sendDirect(const PlannedRequest &request)
+    {
+        const SteadyTime begun = steadyNow();
+        CallRecord record;
+        record.request = request.index;
+        record.startedAt = std::chrono::duration_cast<std::chrono::microseconds>(begun - m_begun);
+        TaskExchange &worker = *m_workers[request.index % m_workers.size()];
+        const std::string &team = m_settings.teams[request.team].name;
+        WorkerReport report;
+        const Task task{toHex(newRecordId()), request.requestId, team, request.service, request.payload, wallNow(), nullptr};
+        const TaskOutcome outcome = worker.run(task, begun + m_settings.deadline, report);
+        record.latency = std::chrono::duration_cast<std::chrono::microseconds>(steadyNow() - begun);
+        const auto *answered = std::get_if<TaskAnswered>(&outcome);
+        record.result = answered != nullptr ? CallResult::Answered : CallResult::NotRun;
+        record.correct = answered == nullptr || answered->body == answerFor(request.requestId, request.payload);
+        return record;
+    }
+
     CallRecord send(const PlannedRequest &request, std::size_t target)
     {
+        if (!m_workers.empty()) {
+            return sendDirect(request);
+        }
         const SteadyTime begun = steadyNow();
         const SteadyTime deadline = begun + m_settings.deadline;
         CallRecord record;
@@ -141,6 +168,7 @@
     const std::atomic<bool> &m_stopping;
     const SteadyTime m_begun;
     std::vector<std::unique_ptr<HttpClients>> m_clients;
+    std::vector<std::unique_ptr<TaskExchange>> m_workers;
     std::atomic<std::size_t> m_next = 0;
     std::mutex m_mutex;
     std::vector<CallRecord> m_records;
--- a/libs/peering/src/details/http2session.h
+++ b/libs/peering/src/details/http2session.h
@@ -63,8 +63,16 @@
     void submitSettings();
     void finishRequest(std::int32_t streamId);
 
-    static ssize_t readOutgoing(nghttp2_session *, std::int32_t streamId, std::uint8_t *buffer, std::size_t length, std::uint32_t *flags, nghttp2_data_source *source, void *self);
-    static int onHeader(nghttp2_session *, const nghttp2_frame *frame, const std::uint8_t *name, std::size_t nameLength, const std::uint8_t *value, std::size_t valueLength, std::uint8_t, void *self);
+    static ssize_t readOutgoing(
+        nghttp2_session *, std::int32_t streamId, std::uint8_t *buffer, std::size_t length, std::uint32_t *flags, nghttp2_data_source *source, void *self);
+    static int onHeader(nghttp2_session *,
+                        const nghttp2_frame *frame,
+                        const std::uint8_t *name,
+                        std::size_t nameLength,
+                        const std::uint8_t *value,
+                        std::size_t valueLength,
+                        std::uint8_t,
+                        void *self);
     static int onData(nghttp2_session *, std::uint8_t, std::int32_t streamId, const std::uint8_t *data, std::size_t length, void *self);
     static int onFrame(nghttp2_session *, const nghttp2_frame *frame, void *self);
     static int onStreamClosed(nghttp2_session *, std::int32_t streamId, std::uint32_t errorCode, void *self);
--- a/libs/peering/src/dialler.cpp
+++ b/libs/peering/src/dialler.cpp
@@ -82,13 +82,14 @@
 {
     const std::uint64_t number = ++m_lastNumber;
     std::string sealed = seal(*m_key, Direction::Request, number, call->body);
-    m_session->request("/message", std::move(sealed), [self = shared_from_this(), session = m_session, key = *m_key, number, call](std::optional<std::string> body) {
-        std::optional<std::string> reply = body ? unseal(key, Direction::Reply, number, *body) : std::nullopt;
-        if (!reply && self->m_session == session) {
-            self->drop();
-        }
-        finish(call, std::move(reply));
-    });
+    m_session->request(
+        "/message", std::move(sealed), [self = shared_from_this(), session = m_session, key = *m_key, number, call](std::optional<std::string> body) {
+            std::optional<std::string> reply = body ? unseal(key, Direction::Reply, number, *body) : std::nullopt;
+            if (!reply && self->m_session == session) {
+                self->drop();
+            }
+            finish(call, std::move(reply));
+        });
 }
 
 void Dialler::drop()
--- a/libs/peering/src/http2session.cpp
+++ b/libs/peering/src/http2session.cpp
@@ -27,7 +27,8 @@
 
 }
 
-Http2Session::Http2Session(asio::ip::tcp::socket socket, Role role, std::atomic<std::uint64_t> &wireBytes, RequestHandler onRequest, std::function<void()> onClosed)
+Http2Session::Http2Session(
+    asio::ip::tcp::socket socket, Role role, std::atomic<std::uint64_t> &wireBytes, RequestHandler onRequest, std::function<void()> onClosed)
     : m_socket(std::move(socket))
     , m_role(role)
     , m_wireBytes(wireBytes)
@@ -205,7 +206,8 @@
     nghttp2_submit_response(m_session, streamId, headers, std::size(headers), &provider);
 }
 
-ssize_t Http2Session::readOutgoing(nghttp2_session *, std::int32_t streamId, std::uint8_t *buffer, std::size_t length, std::uint32_t *flags, nghttp2_data_source *, void *self)
+ssize_t Http2Session::readOutgoing(
+    nghttp2_session *, std::int32_t streamId, std::uint8_t *buffer, std::size_t length, std::uint32_t *flags, nghttp2_data_source *, void *self)
 {
     auto &streams = static_cast<Http2Session *>(self)->m_streams;
     const auto found = streams.find(streamId);
@@ -222,7 +224,14 @@
     return static_cast<ssize_t>(count);
 }
 
-int Http2Session::onHeader(nghttp2_session *, const nghttp2_frame *frame, const std::uint8_t *name, std::size_t nameLength, const std::uint8_t *value, std::size_t valueLength, std::uint8_t, void *self)
+int Http2Session::onHeader(nghttp2_session *,
+                           const nghttp2_frame *frame,
+                           const std::uint8_t *name,
+                           std::size_t nameLength,
+                           const std::uint8_t *value,
+                           std::size_t valueLength,
+                           std::uint8_t,
+                           void *self)
 {
     const std::string_view headerName(reinterpret_cast<const char *>(name), nameLength);
     if (headerName == ":path") {
--- a/libs/upstream/src/health.cpp
+++ b/libs/upstream/src/health.cpp
@@ -9,6 +9,8 @@
 constexpr double AverageWeight = 0.2;
 /** Keeps a worker that failed everything comparable instead of infinitely bad. */
 constexpr double SuccessRateFloor = 0.05;
+/** From here on workers count as equally healthy, so that one failure long ago does not decide. */
+constexpr double SuccessRateGood = 0.9;
 
 }
 
@@ -25,7 +27,8 @@
 {
     const int others = health.othersUntil > now ? health.othersInFlight : 0;
     const double load = (health.inFlight + others + 1.0) / slots;
-    return load / std::max(health.successRate, SuccessRateFloor);
+    const double rate = health.successRate >= SuccessRateGood ? 1.0 : health.successRate;
+    return load / std::max(rate, SuccessRateFloor);
 }
 
 void record(Health &health, AttemptResult result, double seconds)
--- a/libs/upstream/src/taskexchange.cpp
+++ b/libs/upstream/src/taskexchange.cpp
@@ -14,6 +14,8 @@
 using namespace std::chrono_literals;
 
 constexpr auto RetryDelayLeast = 20ms;
+/** A read times out up to this much early, because sockets count whole milliseconds. */
+constexpr auto TimerSlack = 5ms;
 
 /** What one HTTP answer says of the task. */
 struct Reply {
@@ -138,7 +140,7 @@
             // The request names the incarnation it is for; another one refuses it.
             return TaskNotRun{NotRunReason::Replaced};
         case CallFailure::Lost:
-            m_report.silentConnection = m_report.silentConnection || steadyNow() >= answerBy;
+            m_report.silentConnection = m_report.silentConnection || steadyNow() + TimerSlack >= answerBy;
             return follow();
         }
         return TaskUnknown{"unreachable"};
--- a/libs/upstream/tests/placeholder.cpp
+++ /dev/null
@@ -1,5 +0,0 @@
-#include <boost/test/unit_test.hpp>
-
-BOOST_AUTO_TEST_CASE(placeholder)
-{
-}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -25,9 +25,9 @@
 echo "sending work of every team through every node"
 target_options
 load "${TARGET_OPTIONS[@]}" "${TEAM_OPTIONS[@]}" --service quotes --service cutlists --service certificates --service stock --service planning \
-    --requests 3000 --threads 48 --run-ms 20 --ledger "127.0.0.1:$PLATFORM_PORT" >"$FLEET_DIR/summary.json"
+    --requests 3000 --threads 48 --run-ms 20 --ledger "127.0.0.1:$PLATFORM_PORT" --text >"$FLEET_DIR/summary.txt"
 echo
-scripts/demo-report.sh "$FLEET_DIR/summary.json"
+cat "$FLEET_DIR/summary.txt"
 echo
 echo "Services"
 client services
--- a/tools/cornelquay-load/main.cpp
+++ b/tools/cornelquay-load/main.cpp
@@ -33,13 +33,17 @@
                               "  --prefix TEXT       of the request ids (load)\n"
                               "  --ledger ADDRESS    a stand-in whose run counts the answers are held against\n"
                               "  --records FILE      one line of JSON for each request\n"
+                              "  --direct ADDRESS    call the workers that this stand-in lists, without a node\n"
+                              "  --text              print the summary as a table\n"
                               "Prints a summary as one line of JSON. Ends early on SIGTERM.\n";
 
 /** What the command line asks for. */
 struct Options {
     LoadSettings load;
     std::optional<Address> ledger;
+    std::optional<Address> direct;
     std::string recordsFile;
+    bool asText = false;
 };
 
 std::atomic<bool> stopping = false; // NOLINT: set by the signal handler
@@ -95,6 +99,8 @@
                                   {"prefix", required_argument, nullptr, 'x'},
                                   {"ledger", required_argument, nullptr, 'l'},
                                   {"records", required_argument, nullptr, 'f'},
+                                  {"direct", required_argument, nullptr, 'D'},
+                                  {"text", no_argument, nullptr, 'X'},
                                   {nullptr, 0, nullptr, 0}};
     LoadSettings &load = options.load;
     int choice = 0;
@@ -153,6 +159,12 @@
         case 'l':
             options.ledger = parseAddress(value);
             break;
+        case 'D':
+            options.direct = parseAddress(value);
+            break;
+        case 'X':
+            options.asText = true;
+            break;
         case 'f':
             options.recordsFile = value;
             break;
@@ -160,7 +172,8 @@
             return false;
         }
     }
-    return optind == argc && !load.targets.empty() && !load.teams.empty() && !load.services.empty();
+    const bool targeted = options.direct || !load.targets.empty();
+    return optind == argc && targeted && !load.teams.empty() && !load.services.empty();
 }
 
 }
@@ -176,6 +189,10 @@
     std::signal(SIGTERM, [](int) {
         stopping = true;
     });
+    if (options.direct) {
+        options.load.direct = readWorkers(*options.direct);
+        options.load.targets.assign(1, *options.direct);
+    }
     const std::vector<PlannedRequest> plan = makePlan(options.load);
     const std::vector<CallRecord> records = runPlan(options.load, plan, stopping);
     std::optional<RunCounts> runs;
@@ -189,6 +206,7 @@
     if (!options.recordsFile.empty()) {
         std::ofstream(options.recordsFile) << toJsonLines(plan, records);
     }
-    std::cout << toJson(summarize(options.load, plan, records, runs)) << std::endl;
+    const LoadSummary summary = summarize(options.load, plan, records, runs);
+    std::cout << (options.asText ? toText(summary) : toJson(summary) + '\n') << std::flush;
     return ExitSuccess;
 }
