--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -127,6 +127,14 @@
     "$BUILD/tools/cornelquay-load/cornelquay-load" "$@"
 }
 
+# start_load FILE OPTION...: a load in the background, its summary in FILE, its id in LOAD_PID.
+start_load() {
+    local file=$1
+    shift
+    "$BUILD/tools/cornelquay-load/cornelquay-load" "$@" >"$file" &
+    LOAD_PID=$!
+}
+
 standin_post() {
     curl -sf -X POST -d "${2:-{\}}" "http://127.0.0.1:$PLATFORM_PORT/$1" >/dev/null
 }
