Measure keys, limits and at-most-once over nine nodes under faults

Cause: promises across nodes were tested only in parts. Change: measurements with nine real nodes, killed, paused, cut off from the log, with lost answers. Found and mended: a killed node could not bind its port again.

--- a/cornelquay/src/httpserver.cpp
+++ b/cornelquay/src/httpserver.cpp
@@ -25,8 +25,11 @@
     m_server->set_read_timeout(ReadTimeout);
     m_server->set_write_timeout(WriteTimeout);
     m_server->set_tcp_nodelay(true);
-    // The library's default allows several processes on one port, which would hide a wrong setting.
-    m_server->set_socket_options([](socket_t) {});
+    // The library's default also lets several processes share one port, which would hide a wrong setting.
+    m_server->set_socket_options([](socket_t socket) {
+        const int enabled = 1;
+        setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled);
+    });
     if (settings.address.port == 0) {
         m_port = m_server->bind_to_any_port(settings.address.host);
     } else if (m_server->bind_to_port(settings.address.host, settings.address.port)) {
--- a/libs/load/include/load/plan.h
+++ b/libs/load/include/load/plan.h
@@ -43,6 +43,8 @@
     std::chrono::milliseconds runTime{0};
     std::chrono::milliseconds deadline{10000};
     std::size_t payloadBytes = 64;
+    /** Act as a balancer: send only to nodes that are ready, and on to another one if nothing ran there. */
+    bool balance = false;
     /** Added to each request id, so that runs over one fleet do not meet. */
     std::string idPrefix = "load";
 };
--- a/libs/load/include/load/report.h
+++ b/libs/load/include/load/report.h
@@ -47,7 +47,7 @@
 std::string toJson(const LoadSummary &summary);
 
 /** The records as lines of JSON, one for each copy. */
-std::string toJsonLines(const std::vector<PlannedRequest> &plan, const std::vector<CallRecord> &records);
+std::string toJsonLines(const LoadSettings &settings, const std::vector<PlannedRequest> &plan, const std::vector<CallRecord> &records);
 
 /** The workers that a stand-in lists; empty if it does not answer. */
 std::vector<DirectTarget> readWorkers(const Address &standin);
--- a/libs/load/include/load/runner.h
+++ b/libs/load/include/load/runner.h
@@ -28,6 +28,8 @@
     int status = 0;
     std::string reason;
     std::chrono::microseconds startedAt{0};
+    /** Unix milliseconds. */
+    std::int64_t startedWall = 0;
     std::chrono::microseconds latency{0};
 };
 
--- a/libs/load/src/report.cpp
+++ b/libs/load/src/report.cpp
@@ -126,7 +126,7 @@
     return body.dump();
 }
 
-std::string toJsonLines(const std::vector<PlannedRequest> &plan, const std::vector<CallRecord> &records)
+std::string toJsonLines(const LoadSettings &settings, const std::vector<PlannedRequest> &plan, const std::vector<CallRecord> &records)
 {
     std::string text;
     for (const CallRecord &record : records) {
@@ -140,7 +140,9 @@
                         {"correct", record.correct},
                         {"status", record.status},
                         {"reason", record.reason},
+                        {"team", settings.teams[request.team].name},
                         {"started-ms", milliseconds(record.startedAt)},
+                        {"started-unix-ms", record.startedWall},
                         {"latency-ms", milliseconds(record.latency)}};
         text += line.dump() + '\n';
     }
--- a/libs/load/src/runner.cpp
+++ b/libs/load/src/runner.cpp
@@ -22,6 +22,9 @@
 /** How much longer than a request's deadline a caller waits for the answer. */
 constexpr auto AnswerGrace = 3s;
 constexpr std::size_t ConnectionsPerTarget = 4096;
+constexpr auto ReadinessInterval = 50ms;
+constexpr auto ReadinessTimeout = 500ms;
+constexpr int StatusOk = 200;
 
 CallResult resultOf(const std::string &outcome)
 {
@@ -40,7 +43,11 @@
         , m_plan(plan)
         , m_stopping(stopping)
         , m_begun(steadyNow())
+        , m_ready(settings.targets.size())
     {
+        for (std::atomic<bool> &ready : m_ready) {
+            ready = true;
+        }
         for (const Address &target : settings.targets) {
             m_clients.push_back(std::make_unique<HttpClients>(target, ConnectionsPerTarget));
         }
@@ -51,6 +58,12 @@
 
     std::vector<CallRecord> run()
     {
+        std::thread watcher;
+        if (m_settings.balance) {
+            watcher = std::thread([this] {
+                watchReadiness();
+            });
+        }
         std::vector<std::thread> threads;
         for (std::size_t index = 0; index < m_settings.threads; ++index) {
             threads.emplace_back([this] {
@@ -60,6 +73,10 @@
         for (std::thread &thread : threads) {
             thread.join();
         }
+        m_finished = true;
+        if (watcher.joinable()) {
+            watcher.join();
+        }
         return std::move(m_records);
     }
 
@@ -115,12 +132,51 @@
         if (!m_workers.empty()) {
             return sendDirect(request);
         }
+        if (!m_settings.balance) {
+            return sendTo(request, target);
+        }
+        CallRecord record;
+        for (std::size_t tried = 0; tried < m_ready.size(); ++tried) {
+            const std::size_t candidate = (target + tried) % m_ready.size();
+            if (!m_ready[candidate]) {
+                continue;
+            }
+            record = sendTo(request, candidate);
+            const bool elsewhere = record.result == CallResult::NotSent || record.reason == "stopping" || record.reason == "stale-view";
+            if (!elsewhere) {
+                break;
+            }
+        }
+        return record;
+    }
+
+    // Health checks as a balancer makes them.
+    void watchReadiness()
+    {
+        std::vector<std::unique_ptr<httplib::Client>> clients;
+        for (const Address &target : m_settings.targets) {
+            clients.push_back(std::make_unique<httplib::Client>(target.host, target.port));
+            clients.back()->set_connection_timeout(ReadinessTimeout);
+            clients.back()->set_read_timeout(ReadinessTimeout);
+        }
+        while (!m_finished) {
+            for (std::size_t index = 0; index < clients.size(); ++index) {
+                const httplib::Result result = clients[index]->Get("/ready");
+                m_ready[index] = result && result->status == StatusOk;
+            }
+            std::this_thread::sleep_for(ReadinessInterval);
+        }
+    }
+
+    CallRecord sendTo(const PlannedRequest &request, std::size_t target)
+    {
         const SteadyTime begun = steadyNow();
         const SteadyTime deadline = begun + m_settings.deadline;
         CallRecord record;
         record.request = request.index;
         record.target = target;
         record.startedAt = std::chrono::duration_cast<std::chrono::microseconds>(begun - m_begun);
+        record.startedWall = toUnixMilliseconds(wallNow());
         HttpClients::Lease client = m_clients[target]->take(deadline + AnswerGrace);
         const httplib::Result result = client->Post("/v1/services/" + request.service + "/requests", headers(request), request.payload, "text/plain");
         record.latency = std::chrono::duration_cast<std::chrono::microseconds>(steadyNow() - begun);
@@ -167,6 +223,8 @@
     const std::vector<PlannedRequest> &m_plan;
     const std::atomic<bool> &m_stopping;
     const SteadyTime m_begun;
+    std::vector<std::atomic<bool>> m_ready;
+    std::atomic<bool> m_finished = false;
     std::vector<std::unique_ptr<HttpClients>> m_clients;
     std::vector<std::unique_ptr<TaskExchange>> m_workers;
     std::atomic<std::size_t> m_next = 0;
--- a/libs/replica/tests/replicatest.cpp
+++ b/libs/replica/tests/replicatest.cpp
@@ -1,6 +1,6 @@
+#include "replica/replica.h"
 #include "fleet/snapshot.h"
 #include "records/codec.h"
-#include "replica/replica.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -13,7 +13,8 @@
 
 constexpr auto Patience = 20s;
 
-std::unique_ptr<Replica> makeReplica(const std::shared_ptr<MemoryLog> &log, Metrics &metrics, std::uint64_t snapshotEvery = 1000000, const std::string &author = "n1")
+std::unique_ptr<Replica>
+makeReplica(const std::shared_ptr<MemoryLog> &log, Metrics &metrics, std::uint64_t snapshotEvery = 1000000, const std::string &author = "n1")
 {
     return Replica::Builder().readingFrom(log).appendingTo(log).author(author).snapshotEvery(snapshotEvery).metrics(metrics).build();
 }
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -62,7 +62,7 @@
     cat >"$FLEET_DIR/node-$index.yaml" <<YAML
 name: node-$index
 zone: $zone
-callers: {address: "127.0.0.1:0", threads: ${CALLER_THREADS:-256}, plain: true}
+callers: {address: "${CALLER_ADDRESSES[$index]:-127.0.0.1:0}", threads: ${CALLER_THREADS:-256}, plain: true}
 operators-listener: {address: "127.0.0.1:0", plain: true}
 peer-address: "127.0.0.1:0"
 peer-secret: loopback-secret-0123456789
@@ -95,6 +95,13 @@
     NODE_PIDS[$1]=
 }
 
+# kill_node INDEX: the node is gone at once, as when its machine fails.
+kill_node() {
+    kill -KILL "${NODE_PIDS[$1]}"
+    wait "${NODE_PIDS[$1]}" 2>/dev/null || true
+    NODE_PIDS[$1]=
+}
+
 wait_ready() {
     wait_for curl -sf "http://${CALLER_ADDRESSES[$1]}/ready"
 }
--- a/tools/cornelquay-load/main.cpp
+++ b/tools/cornelquay-load/main.cpp
@@ -34,6 +34,7 @@
                               "  --ledger ADDRESS    a stand-in whose run counts the answers are held against\n"
                               "  --records FILE      one line of JSON for each request\n"
                               "  --direct ADDRESS    call the workers that this stand-in lists, without a node\n"
+                              "  --balance           send only to ready nodes, and on to another if nothing ran\n"
                               "  --text              print the summary as a table\n"
                               "Prints a summary as one line of JSON. Ends early on SIGTERM.\n";
 
@@ -101,6 +102,7 @@
                                   {"records", required_argument, nullptr, 'f'},
                                   {"direct", required_argument, nullptr, 'D'},
                                   {"text", no_argument, nullptr, 'X'},
+                                  {"balance", no_argument, nullptr, 'B'},
                                   {nullptr, 0, nullptr, 0}};
     LoadSettings &load = options.load;
     int choice = 0;
@@ -162,6 +164,9 @@
         case 'D':
             options.direct = parseAddress(value);
             break;
+        case 'B':
+            load.balance = true;
+            break;
         case 'X':
             options.asText = true;
             break;
@@ -204,7 +209,7 @@
         }
     }
     if (!options.recordsFile.empty()) {
-        std::ofstream(options.recordsFile) << toJsonLines(plan, records);
+        std::ofstream(options.recordsFile) << toJsonLines(options.load, plan, records);
     }
     const LoadSummary summary = summarize(options.load, plan, records, runs);
     std::cout << (options.asText ? toText(summary) : toJson(summary) + '\n') << std::flush;
