Divide full pools among the nodes by the teams' shares

Cause: with the fleet full, slots went to whichever node tried first; each node kept the order of its own queue only. Change: nodes report running and waiting tasks; each computes every node's part of each full pool by weighted max-min and systematic sampling over rounds of a second. Work sent back for lack of a slot keeps its place; urgent work does not wait for a part.

--- a/cornelquay/include/cornelquay/node.h
+++ b/cornelquay/include/cornelquay/node.h
@@ -5,6 +5,7 @@
 #include <tl/expected.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -29,11 +30,17 @@
     {
     public:
         Builder &settings(NodeSettings settings);
+        /**
+         * Called once if the other nodes took this one for dead and removed it. It takes no work from
+         * then on; the process should stop it and start again as a new incarnation.
+         */
+        Builder &onRemoved(std::function<void()> handler);
         /** The node, with its listeners bound; the error says which address could not be bound. */
         tl::expected<std::unique_ptr<Node>, std::string> build();
 
     private:
         NodeSettings m_settings;
+        std::function<void()> m_onRemoved;
     };
 
     ~Node();
@@ -50,7 +57,7 @@
     std::uint16_t operatorPort() const;
 
 private:
-    explicit Node(NodeSettings settings);
+    Node(NodeSettings settings, std::function<void()> onRemoved);
     struct Impl;
     std::unique_ptr<Impl> m_impl;
 };
--- a/cornelquay/src/callerserver.cpp
+++ b/cornelquay/src/callerserver.cpp
@@ -62,6 +62,7 @@
         order.service = m_request.matches[1];
         order.requestId = m_request.get_header_value("Request-Id");
         order.payload = m_request.body;
+        order.receivedAt = steadyNow();
         if (!isRequestId(order.requestId)) {
             fail("Request-Id must be 1 to 128 visible ASCII characters");
         }
--- a/cornelquay/src/details/dispatcher.h
+++ b/cornelquay/src/details/dispatcher.h
@@ -24,6 +24,7 @@
     Urgency urgency = Urgency::Normal;
     /** What the caller says it takes, instead of the service's declared size. */
     std::optional<Resources> size;
+    SteadyTime receivedAt;
     SteadyTime deadline;
 };
 
@@ -59,6 +60,7 @@
     Outcome runOnce(const WorkOrder &order, const Target &target);
     std::optional<Outcome> attemptOnce(const WorkOrder &order, const ClaimKey &key, const AdmissionTicket &ticket);
     Outcome join(const WorkOrder &order, const ClaimKey &key, bool &startAgain);
+    TaskOutcome runBound(const WorkOrder &order, const AdmissionTicket &ticket, const std::string &taskId);
     TaskOutcome runTask(const WorkOrder &order, const AdmissionTicket &ticket, const std::string &taskId);
     tl::expected<AdmissionTicket, NotRun> enter(const WorkOrder &order, const Target &target);
     NotRun noCapacity(const Target &target, const std::string &message) const;
--- a/cornelquay/src/details/peerkeeper.h
+++ b/cornelquay/src/details/peerkeeper.h
@@ -22,6 +22,10 @@
     Incarnation self;
     Address address;
     std::string secret;
+    /** Tasks that the instances of a pool run at once. */
+    std::function<std::int64_t(const std::string &pool)> slotsOf;
+    /** Whether teams' shares count over all nodes; false only for comparison. */
+    bool sharesFleetWide = true;
     /** Whether this node's view allows starting work, and so lending. */
     std::function<bool()> mayAcceptWork;
 };
@@ -86,7 +90,8 @@
     PeerPosition position(SteadyTime now) const;
     PeerLoad load() const;
     void applyLoans(SteadyTime now);
-    void applyRemoteUse(SteadyTime now);
+    void applyParts(SteadyTime now);
+    void addPeerDemand(const std::string &pool, SteadyTime now, PoolDemand &demand, std::map<std::string, std::int64_t> &remoteRunning) const;
     void updateView(SteadyTime now);
     void removeSilent(SteadyTime now);
     bool isMajorityHeard() const;
--- a/cornelquay/src/details/peermessages.h
+++ b/cornelquay/src/details/peermessages.h
@@ -24,16 +24,27 @@
     }
 };
 
+/** Tasks of one team in one pool. */
+struct PeerDemand {
+    std::int64_t running = 0;
+    std::int64_t waiting = 0;
+
+    auto fields()
+    {
+        return std::tie(running, waiting);
+    }
+};
+
 /** What a node uses and has to spare, for fair turns and loans. */
 struct PeerLoad {
-    /** Cost in use, by pool and team. */
-    std::map<std::string, std::map<std::string, double>> use;
+    /** Running and waiting tasks, by pool and team. */
+    std::map<std::string, std::map<std::string, PeerDemand>> demand;
     /** Permits that are free, by team; teams without any are left out. */
     std::map<std::string, std::int64_t> spare;
 
     auto fields()
     {
-        return std::tie(use, spare);
+        return std::tie(demand, spare);
     }
 };
 
--- a/cornelquay/src/dispatcher.cpp
+++ b/cornelquay/src/dispatcher.cpp
@@ -21,6 +21,9 @@
 /** How long a bound request may stay unstarted before another sender ends the binding. */
 constexpr auto JoinPatience = 1s;
 constexpr auto JoinPollInterval = 20ms;
+/** How long a bound request waits for a slot on its instance. */
+constexpr auto BoundSlotWait = 1s;
+constexpr int BoundBackoffStepsMax = 2;
 /** Clocks of nodes and workers differ by less than this. */
 constexpr auto ClockSkewMax = 1s;
 
@@ -59,6 +62,12 @@
     return AttemptResult::Unreachable;
 }
 
+bool isNoSlot(const TaskOutcome &outcome)
+{
+    const auto *notRun = std::get_if<TaskNotRun>(&outcome);
+    return notRun != nullptr && notRun->reason == NotRunReason::NoSlot;
+}
+
 Answered toAnswered(TaskAnswered answered)
 {
     return {answered.succeeded, std::move(answered.body), std::move(answered.contentType)};
@@ -140,7 +149,7 @@
 tl::expected<AdmissionTicket, NotRun> Dispatcher::enter(const WorkOrder &order, const Target &target)
 {
     const SteadyTime entered = steadyNow();
-    auto ticket = m_admission.enter({order.team, target.pool, target.cost, order.urgency, order.deadline});
+    auto ticket = m_admission.enter({order.team, target.pool, target.cost, order.urgency, order.receivedAt, order.deadline});
     m_queueSeconds.observe(seconds(entered, steadyNow()));
     if (!ticket) {
         return tl::make_unexpected(refusedBy(ticket.error()));
@@ -180,7 +189,8 @@
     bool mayHaveRun = false;
     int runAttempts = 0;
     std::optional<Outcome> last;
-    for (int attempt = 0; attempt < AttemptsMax; ++attempt) {
+    int attempt = 0;
+    while (attempt < AttemptsMax) {
         auto ticket = enter(order, target);
         if (!ticket) {
             if (last) {
@@ -192,6 +202,10 @@
         const bool unknown = std::holds_alternative<TaskUnknown>(outcome);
         // A task that may still run keeps its permit until its lease is over.
         m_admission.leave(*ticket, unknown ? leaseEnd(ticket->slot) : SteadyTime());
+        if (isNoSlot(outcome)) {
+            // Another node was faster; the request waits on in its old place.
+            continue;
+        }
         if (auto *answered = std::get_if<TaskAnswered>(&outcome)) {
             const bool succeeded = answered->succeeded;
             last = toAnswered(std::move(*answered));
@@ -209,7 +223,7 @@
             }
         }
         m_retriesTotal.increment();
-        backOff(attempt, order.deadline);
+        backOff(++attempt, order.deadline);
     }
     return last.value_or(Outcome(noCapacity(target, "no instance took the work")));
 }
@@ -258,7 +272,7 @@
         }
         return NotRun{RefusalReason::ClaimUnavailable, "the log did not confirm that the request runs only once", 1000ms};
     }
-    TaskOutcome outcome = runTask(order, ticket, taskIdOf(key, bound->boundAt));
+    TaskOutcome outcome = runBound(order, ticket, taskIdOf(key, bound->boundAt));
     const bool unknown = std::holds_alternative<TaskUnknown>(outcome);
     m_admission.leave(ticket, unknown ? leaseEnd(ticket.slot) : SteadyTime());
     if (auto *answered = std::get_if<TaskAnswered>(&outcome)) {
@@ -275,6 +289,28 @@
     return std::nullopt;
 }
 
+// A bound request waits for a slot on its instance for a while: binding it anew costs two appends.
+TaskOutcome Dispatcher::runBound(const WorkOrder &order, const AdmissionTicket &ticket, const std::string &taskId)
+{
+    const SteadyTime waitEnd = std::min(order.deadline, steadyNow() + BoundSlotWait);
+    TaskOutcome outcome = runTask(order, ticket, taskId);
+    for (int attempt = 0; isNoSlot(outcome) && steadyNow() < waitEnd; ++attempt) {
+        backOff(std::min(attempt, BoundBackoffStepsMax), waitEnd);
+        std::optional<UpstreamSlot> slot = m_upstreams.pickInstance(ticket.slot.instance, steadyNow());
+        if (!slot) {
+            break;
+        }
+        if (slot->incarnation != ticket.slot.incarnation) {
+            m_upstreams.giveBack(*slot, AttemptResult::Refused, {}, steadyNow());
+            break;
+        }
+        AdmissionTicket again = ticket;
+        again.slot = std::move(*slot);
+        outcome = runTask(order, again, taskId);
+    }
+    return outcome;
+}
+
 // Another sender bound the request: its answer is fetched, or the binding is ended with proof.
 Outcome Dispatcher::join(const WorkOrder &order, const ClaimKey &key, bool &startAgain)
 {
--- a/cornelquay/src/node.cpp
+++ b/cornelquay/src/node.cpp
@@ -32,9 +32,10 @@
 }
 
 struct Node::Impl {
-    explicit Impl(NodeSettings givenSettings);
+    Impl(NodeSettings givenSettings, std::function<void()> givenOnRemoved);
 
     const NodeSettings settings;
+    const std::function<void()> onRemoved;
     const Incarnation self;
     Metrics metrics;
     std::unique_ptr<Replica> replica;
@@ -54,6 +55,7 @@
     std::mutex mutex;
     std::condition_variable wakeUp;
     std::atomic<bool> joined = false;
+    std::atomic<bool> removed = false;
     std::atomic<bool> stopping = false;
     std::uint64_t refreshedRevision = 0;
     std::thread joiner;
@@ -69,8 +71,9 @@
     Details::OperatorServices operatorServices();
 };
 
-Node::Impl::Impl(NodeSettings givenSettings)
+Node::Impl::Impl(NodeSettings givenSettings, std::function<void()> givenOnRemoved)
     : settings(std::move(givenSettings))
+    , onRemoved(std::move(givenOnRemoved))
     , self(newIncarnation(settings.name))
     , replica(Replica::Builder()
                   .readingFrom(HttpLog(settings.log))
@@ -113,12 +116,12 @@
 
 bool Node::Impl::mayAcceptWork() const
 {
-    return Details::isAllowed(Details::ViewAction::AcceptWork, viewState());
+    return !removed && Details::isAllowed(Details::ViewAction::AcceptWork, viewState());
 }
 
 bool Node::Impl::isReady() const
 {
-    return joined && !stopping;
+    return joined && !removed && !stopping;
 }
 
 Details::PeerKeeperServices Node::Impl::peerServices()
@@ -130,6 +133,10 @@
     result.self = self;
     result.address = settings.peerAddress;
     result.secret = settings.peerSecret;
+    result.slotsOf = [this](const std::string &pool) {
+        return static_cast<std::int64_t>(upstreams.instanceCount(pool)) * settings.upstream.slotsPerInstance;
+    };
+    result.sharesFleetWide = std::holds_alternative<FleetShareTurns>(settings.admission.turns);
     result.mayAcceptWork = [this] {
         return mayAcceptWork();
     };
@@ -153,7 +160,7 @@
         return dispatcher.run(order);
     };
     result.isReady = [this] {
-        return joined.load();
+        return joined && !removed;
     };
     return result;
 }
@@ -187,6 +194,7 @@
     Details::ServiceTable table;
     std::shared_ptr<const Configuration> configuration;
     bool changed = false;
+    bool gone = false;
     replica->query([&](const FleetState &state) {
         changed = state.revision != refreshedRevision;
         if (changed) {
@@ -194,7 +202,14 @@
             table = Details::makeServiceTable(state);
             configuration = state.parsed;
         }
+        gone = joined && !stopping && !isPresent(state, self);
     });
+    if (gone && !removed.exchange(true)) {
+        logChange("node", "removed by the other nodes");
+        if (onRemoved) {
+            onRemoved();
+        }
+    }
     if (!changed) {
         return;
     }
@@ -205,8 +220,7 @@
     peers.refreshPeers();
 }
 
-// A node that others took for dead joins again under the same incarnation's successor rules: it
-// must be replaced, so here only the first join is repeated until it stands.
+// Only the first join is repeated until it stands; a node that was removed must be replaced.
 void Node::Impl::keepJoined()
 {
     std::unique_lock lock(mutex);
@@ -244,9 +258,15 @@
     return *this;
 }
 
+Node::Builder &Node::Builder::onRemoved(std::function<void()> handler)
+{
+    m_onRemoved = std::move(handler);
+    return *this;
+}
+
 tl::expected<std::unique_ptr<Node>, std::string> Node::Builder::build()
 {
-    std::unique_ptr<Node> node(new Node(std::move(m_settings)));
+    std::unique_ptr<Node> node(new Node(std::move(m_settings), std::move(m_onRemoved)));
     if (!node->m_impl->callers.isBound()) {
         return tl::make_unexpected("the callers' address " + toText(node->m_impl->settings.callers.address) + " cannot be bound");
     }
@@ -259,8 +279,8 @@
     return node;
 }
 
-Node::Node(NodeSettings settings)
-    : m_impl(std::make_unique<Impl>(std::move(settings)))
+Node::Node(NodeSettings settings, std::function<void()> onRemoved)
+    : m_impl(std::make_unique<Impl>(std::move(settings), std::move(onRemoved)))
 {
 }
 
@@ -299,7 +319,7 @@
     m_impl->limits.stop();
     m_impl->instances.stop();
     m_impl->claims.stop();
-    if (m_impl->joined) {
+    if (m_impl->joined && !m_impl->removed) {
         m_impl->replica->propose(NodeLeft{m_impl->self.name, m_impl->self.number}, m_impl->self.name, "stopped", steadyNow() + LeaveTimeout);
     }
     m_impl->peers.stop();
--- a/cornelquay/src/nodesettings.cpp
+++ b/cornelquay/src/nodesettings.cpp
@@ -91,6 +91,21 @@
     exchange.lease = element.child("task-lease", Presence::Optional).duration(1s, 15s, exchange.lease);
 }
 
+TurnPolicy readTurns(const Element &element)
+{
+    const std::string name = element.text("fleet-shares");
+    if (name == "first-come") {
+        return FirstComeTurns{};
+    }
+    if (name == "node-shares") {
+        return NodeShareTurns{};
+    }
+    if (name != "fleet-shares") {
+        element.report("'" + name + "' is not an order of turns", "write fleet-shares, node-shares or first-come");
+    }
+    return FleetShareTurns{};
+}
+
 std::string readPeerSecret(const Element &element)
 {
     std::string secret = element.text();
@@ -119,7 +134,8 @@
                     "limits",
                     "times",
                     "snapshot-every",
-                    "log-format"});
+                    "log-format",
+                    "turns"});
     NodeSettings settings;
     settings.name = root.child("name").name();
     settings.zone = root.child("zone").name();
@@ -138,6 +154,7 @@
     readLimits(root.child("limits", Presence::Optional), settings);
     readTimes(root.child("times", Presence::Optional), settings);
     settings.snapshotEvery = static_cast<std::uint64_t>(root.child("snapshot-every", Presence::Optional).integer(10, SnapshotEveryMost, 2000));
+    settings.admission.turns = readTurns(root.child("turns", Presence::Optional));
     const Element format = root.child("log-format", Presence::Optional);
     const std::string formatName = format.text("text");
     if (formatName != "text" && formatName != "json") {
--- a/cornelquay/src/peerkeeper.cpp
+++ b/cornelquay/src/peerkeeper.cpp
@@ -23,6 +23,8 @@
 constexpr auto RemovalTimeout = 3s;
 /** The lender keeps this part of its spare permits for itself: one of so many. */
 constexpr std::int64_t LenderReserve = 4;
+/** Parts below one slot go to another node after this time. */
+constexpr std::int64_t RoundMilliseconds = 1000;
 constexpr std::size_t RelayBytesMax = 64ULL * 1024;
 
 std::int64_t ageIn(SteadyTime time, SteadyTime now)
@@ -156,7 +158,9 @@
         updateView(now);
         exchangeWithDue(now);
         applyLoans(now);
-        applyRemoteUse(now);
+        if (m_services.sharesFleetWide) {
+            applyParts(now);
+        }
         removeSilent(now);
         m_bytesGauge.set(static_cast<double>(m_mesh->bytes()));
         lock.lock();
@@ -271,9 +275,9 @@
 PeerLoad PeerKeeper::load() const
 {
     PeerLoad load;
-    for (const auto &[pool, entry] : m_services.admission->load()) {
-        if (!entry.use.empty()) {
-            load.use[pool] = entry.use;
+    for (const auto &[pool, teams] : m_services.admission->demand()) {
+        for (const auto &[team, tasks] : teams) {
+            load.demand[pool][team] = {tasks.running, tasks.waiting};
         }
     }
     for (const auto &[team, entry] : m_services.admission->teams()) {
@@ -340,24 +344,39 @@
     });
 }
 
-void PeerKeeper::applyRemoteUse(SteadyTime now)
+// All nodes divide each full pool in the same way, from the same reports.
+void PeerKeeper::applyParts(SteadyTime now)
 {
-    std::map<std::string, std::map<std::string, double>> use;
-    {
-        const std::lock_guard lock(m_mutex);
-        for (const auto &[name, peer] : m_peers) {
-            if (peer.heardAt == SteadyTime() || now - peer.heardAt > ReachableAge) {
-                continue;
-            }
-            for (const auto &[pool, teams] : peer.load.use) {
-                for (const auto &[team, cost] : teams) {
-                    use[pool][team] += cost;
-                }
-            }
+    std::map<std::string, double> shares;
+    m_services.replica->query([&](const FleetState &state) {
+        for (const auto &[name, team] : state.parsed->teams) {
+            shares[name] = team.share;
         }
+    });
+    const auto round = static_cast<std::uint64_t>(toUnixMilliseconds(wallNow()) / RoundMilliseconds);
+    for (const auto &[pool, teams] : m_services.admission->demand()) {
+        PoolDemand demand{m_services.slotsOf(pool), {{m_services.self.name, teams}}};
+        std::map<std::string, std::int64_t> remoteRunning;
+        addPeerDemand(pool, now, demand, remoteRunning);
+        m_services.admission->setPoolParts(pool, remoteRunning, fairParts(demand, shares, m_services.self.name, round));
     }
-    for (const auto &[pool, entry] : m_services.admission->load()) {
-        m_services.admission->setRemoteUse(pool, use[pool]);
+}
+
+void PeerKeeper::addPeerDemand(const std::string &pool, SteadyTime now, PoolDemand &demand, std::map<std::string, std::int64_t> &remoteRunning) const
+{
+    const std::lock_guard lock(m_mutex);
+    for (const auto &[name, peer] : m_peers) {
+        const auto teams = peer.load.demand.find(pool);
+        const bool heard = peer.heardAt != SteadyTime() && now - peer.heardAt <= ReachableAge;
+        if (!heard || teams == peer.load.demand.end()) {
+            continue;
+        }
+        NodeDemand node{name, {}};
+        for (const auto &[team, tasks] : teams->second) {
+            node.teams[team] = {tasks.running, tasks.waiting};
+            remoteRunning[team] += tasks.running;
+        }
+        demand.nodes.push_back(std::move(node));
     }
 }
 
--- a/libs/admission/include/admission/admission.h
+++ b/libs/admission/include/admission/admission.h
@@ -21,6 +21,8 @@
     /** Dominant share of the pool that the work takes, from 0 to 1. */
     double cost = 0;
     Urgency urgency = Urgency::Normal;
+    /** When the request came first; kept when it is sent back to wait again. */
+    SteadyTime enteredAt;
     SteadyTime deadline;
 };
 
@@ -52,6 +54,7 @@
 struct AdmissionLimits {
     std::size_t waitingMax = 1000;
     std::size_t waitingPerTeamMax = 400;
+    TurnPolicy turns;
 };
 
 /** A team's permits on this node and how much of its work waits. */
@@ -60,12 +63,6 @@
     std::size_t waiting = 0;
 };
 
-/** How many wait for and use each pool on this node, by team. */
-struct PoolLoad {
-    std::map<std::string, std::size_t> waiting;
-    std::map<std::string, double> use;
-};
-
 /**
  * Gives requests their turn: bounded queues, one fair order per pool, team permits and worker slots.
  *
@@ -101,8 +98,8 @@
     void configure(const Configuration &configuration);
     /** Changes the permits; @p change runs under the lock. */
     void changeLimits(const std::function<void(TeamLimits &)> &change);
-    /** Sets what other nodes use of @p pool, in cost by team. */
-    void setRemoteUse(const std::string &pool, const std::map<std::string, double> &use);
+    /** Sets what other nodes run in @p pool by team, and this node's parts of it; see FairQueue. */
+    void setPoolParts(const std::string &pool, const std::map<std::string, std::int64_t> &remoteRunning, std::map<std::string, std::int64_t> parts);
     /** Turns are given out only while @p gate is true; called under the lock, must not block. */
     void setGate(std::function<bool()> gate);
     /** Wakes up those who wait because something may have become free. */
@@ -112,7 +109,8 @@
 
     // Queries.
 
-    std::map<std::string, PoolLoad> load() const;
+    /** Tasks on this node, by pool and team. */
+    std::map<std::string, std::map<std::string, TeamDemand>> demand() const;
     std::map<std::string, TeamLoad> teams() const;
     std::size_t waiting() const;
     /** Whether @p team runs more on this node than its permits allow, as after a lost loan. */
--- a/libs/admission/include/admission/fairqueue.h
+++ b/libs/admission/include/admission/fairqueue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/fairallocation.h"
 #include "timing/instant.h"
 
 #include <cstdint>
@@ -8,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace Cornelquay {
@@ -28,6 +30,21 @@
     SteadyTime enteredAt;
 };
 
+/** The next turn goes to the request that waits longest; for comparison. */
+struct FirstComeTurns {
+};
+
+/** Shares count what this node alone runs; for comparison. */
+struct NodeShareTurns {
+};
+
+/** Shares count what all nodes run. */
+struct FleetShareTurns {
+};
+
+/** How the next turn is chosen. */
+using TurnPolicy = std::variant<FleetShareTurns, NodeShareTurns, FirstComeTurns>;
+
 /** Urgent work of a team above its share goes before everything once it waited this long. */
 constexpr std::chrono::milliseconds UrgentPatience{2000};
 
@@ -43,11 +60,16 @@
 class FairQueue
 {
 public:
+    explicit FairQueue(TurnPolicy policy = FleetShareTurns{});
+
     /** Sets the share of each team, from 0 to 1. Teams not named have the least share. */
     void setShares(const std::map<std::string, double> &shares);
-    /** Sets what other nodes run for each team, in cost. */
-    void setRemoteUse(const std::map<std::string, double> &use);
+    /** Sets how many tasks other nodes run for each team; they count as costly as the newest work here. */
+    void setRemoteRunning(const std::map<std::string, std::int64_t> &running);
+    /** Bounds the tasks of each team on this node; teams not named, or all if empty, are not bounded. */
+    void setParts(std::map<std::string, std::int64_t> parts);
 
+    /** Work that was sent back keeps its place by when it entered first. */
     void push(WaitingWork work);
     /** Takes waiting work out that is no longer wanted; whether it was there. */
     bool remove(const std::string &team, std::uint64_t id);
@@ -64,15 +86,16 @@
     std::size_t waiting(const std::string &team) const;
     /** Cost in use on this node by @p team. */
     double use(const std::string &team) const;
-    std::map<std::string, std::size_t> waitingByTeam() const;
-    std::map<std::string, double> useByTeam() const;
+    /** Tasks of each team on this node, in this pool. */
+    std::map<std::string, TeamDemand> demand() const;
 
 private:
     struct TeamQueue {
         std::deque<WaitingWork> urgent;
         std::deque<WaitingWork> normal;
         double localUse = 0;
-        double remoteUse = 0;
+        std::int64_t running = 0;
+        std::int64_t remoteRunning = 0;
         double share = 0;
     };
     /** Where a team stands in the order; the least goes first. */
@@ -85,11 +108,21 @@
         bool operator<(const Rank &other) const;
     };
 
+    Rank rankFor(const FirstComeTurns &, const TeamQueue &queue, SteadyTime now) const;
+    Rank rankFor(const NodeShareTurns &, const TeamQueue &queue, SteadyTime now) const;
+    Rank rankFor(const FleetShareTurns &, const TeamQueue &queue, SteadyTime now) const;
+    Rank rankByUse(const TeamQueue &queue, double use, double totalUse, SteadyTime now) const;
     static const WaitingWork &front(const TeamQueue &queue);
+    bool isWithinPart(const std::string &team, const TeamQueue &queue) const;
+    double remoteUse(const TeamQueue &queue) const;
     static bool isEmpty(const TeamQueue &queue);
     Rank rank(const TeamQueue &queue, SteadyTime now) const;
-    double totalUse() const;
+    double localUse() const;
+    double fleetUse() const;
 
+    TurnPolicy m_policy;
+    double m_taskCost = 0;
+    std::map<std::string, std::int64_t> m_parts;
     std::map<std::string, TeamQueue> m_teams;
     std::size_t m_waiting = 0;
 };
--- a/libs/admission/src/admission.cpp
+++ b/libs/admission/src/admission.cpp
@@ -19,6 +19,7 @@
 constexpr auto RetryAfterMost = 30000ms;
 /** Weight of the newest gap between two ends of turns in their moving average. */
 constexpr double GapWeight = 0.05;
+constexpr double InitialGapSeconds = 0.01;
 
 /** One waiting thread. */
 struct Waiter {
@@ -30,7 +31,7 @@
 struct PoolQueue {
     FairQueue queue;
     SteadyTime lastEnd;
-    double gapSeconds = 0.01;
+    double gapSeconds = InitialGapSeconds;
 };
 
 }
@@ -77,7 +78,7 @@
 
 PoolQueue &Admission::Impl::poolQueue(const std::string &pool)
 {
-    const auto [found, inserted] = pools.try_emplace(pool);
+    const auto [found, inserted] = pools.try_emplace(pool, PoolQueue{FairQueue(limits.turns), {}, InitialGapSeconds});
     if (inserted) {
         found->second.queue.setShares(shares);
     }
@@ -196,7 +197,7 @@
     const std::uint64_t id = ++m_impl->lastId;
     m_impl->waiters.emplace(id, &waiter);
     m_impl->countWaiting(request.team, 1);
-    m_impl->poolQueue(request.pool).queue.push({id, request.team, request.cost, request.urgency, steadyNow()});
+    m_impl->poolQueue(request.pool).queue.push({id, request.team, request.cost, request.urgency, request.enteredAt});
     m_impl->pump(request.pool, steadyNow());
     m_impl->somethingWaits.notify_one();
     waiter.turn.wait_until(lock, request.deadline, [&] {
@@ -267,10 +268,12 @@
     }
 }
 
-void Admission::setRemoteUse(const std::string &pool, const std::map<std::string, double> &use)
+void Admission::setPoolParts(const std::string &pool, const std::map<std::string, std::int64_t> &remoteRunning, std::map<std::string, std::int64_t> parts)
 {
     const std::lock_guard lock(m_impl->mutex);
-    m_impl->poolQueue(pool).queue.setRemoteUse(use);
+    FairQueue &queue = m_impl->poolQueue(pool).queue;
+    queue.setRemoteRunning(remoteRunning);
+    queue.setParts(std::move(parts));
 }
 
 void Admission::setGate(std::function<bool()> gate)
@@ -294,12 +297,12 @@
     }
 }
 
-std::map<std::string, PoolLoad> Admission::load() const
+std::map<std::string, std::map<std::string, TeamDemand>> Admission::demand() const
 {
     const std::lock_guard lock(m_impl->mutex);
-    std::map<std::string, PoolLoad> result;
+    std::map<std::string, std::map<std::string, TeamDemand>> result;
     for (const auto &[pool, entry] : m_impl->pools) {
-        result[pool] = {entry.queue.waitingByTeam(), entry.queue.useByTeam()};
+        result[pool] = entry.queue.demand();
     }
     return result;
 }
--- /dev/null
+++ b/libs/admission/tests/fairallocationtest.cpp
@@ -0,0 +1,50 @@
+#include "admission/fairallocation.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Cornelquay;
+
+BOOST_AUTO_TEST_CASE(unusedSharesGoToTheOthers)
+{
+    const std::map<std::string, double> weights{{"a", 0.5}, {"b", 0.3}, {"c", 0.2}};
+    const auto full = weightedMaxMin(100, {{"a", 500}, {"b", 500}, {"c", 500}}, weights);
+    BOOST_TEST(full.at("a") == 50.0);
+    BOOST_TEST(full.at("c") == 20.0);
+    const auto lent = weightedMaxMin(100, {{"a", 10}, {"b", 500}, {"c", 500}}, weights);
+    BOOST_TEST(lent.at("a") == 10.0);
+    BOOST_TEST(lent.at("b") == 54.0, boost::test_tools::tolerance(1e-9));
+    BOOST_TEST(lent.at("c") == 36.0, boost::test_tools::tolerance(1e-9));
+    const auto roomy = weightedMaxMin(100, {{"a", 10}, {"b", 20}}, weights);
+    BOOST_TEST(roomy.at("a") == 10.0);
+    BOOST_TEST(roomy.at("b") == 20.0);
+}
+
+BOOST_AUTO_TEST_CASE(partsOfAllNodesAddUpToTheSlotsInEveryRound)
+{
+    const std::map<std::string, double> shares{{"a", 0.35}, {"b", 0.35}, {"c", 0.25}, {"d", 0.05}};
+    PoolDemand pool{20, {}};
+    for (int node = 0; node < 9; ++node) {
+        const std::int64_t skew = node == 0 ? 40 : 4;
+        pool.nodes.push_back({"n" + std::to_string(node), {{"a", {1, skew}}, {"b", {0, skew}}, {"c", {2, skew}}, {"d", {0, skew}}}});
+    }
+    std::map<std::string, double> mean;
+    constexpr int Rounds = 1000;
+    for (int round = 0; round < Rounds; ++round) {
+        std::int64_t sum = 0;
+        for (const NodeDemand &node : pool.nodes) {
+            for (const auto &[team, part] : fairParts(pool, shares, node.node, static_cast<std::uint64_t>(round))) {
+                sum += part;
+                mean[team] += static_cast<double>(part) / Rounds;
+            }
+        }
+        BOOST_TEST(std::abs(sum - pool.slots) <= 1);
+    }
+    BOOST_TEST(mean["a"] == 7.0, boost::test_tools::tolerance(0.05));
+    BOOST_TEST(mean["d"] == 1.0, boost::test_tools::tolerance(0.05));
+}
+
+BOOST_AUTO_TEST_CASE(aPoolThatIsNotFullHasNoBound)
+{
+    const PoolDemand pool{20, {{"n0", {{"a", {5, 5}}}}, {"n1", {{"b", {5, 5}}}}}};
+    BOOST_TEST(fairParts(pool, {{"a", 0.5}, {"b", 0.5}}, "n0", 1).empty());
+}
--- a/libs/admission/tests/fairqueuetest.cpp
+++ b/libs/admission/tests/fairqueuetest.cpp
@@ -62,7 +62,7 @@
 {
     FairQueue queue;
     queue.setShares({{"a", 0.5}, {"b", 0.5}});
-    queue.setRemoteUse({{"a", 0.2}});
+    queue.setRemoteRunning({{"a", 20}});
     const SteadyTime now = steadyNow();
     fill(queue, "a", 30, now);
     fill(queue, "b", 30, now);
@@ -76,12 +76,12 @@
     FairQueue queue;
     queue.setShares({{"a", 0.5}, {"b", 0.5}});
     const SteadyTime now = steadyNow();
-    queue.setRemoteUse({{"a", 0.5}, {"b", 0.1}});
+    queue.setRemoteRunning({{"a", 50}, {"b", 10}});
     fill(queue, "a", 1, now, Urgency::Urgent);
     fill(queue, "b", 2, now);
     BOOST_TEST(queue.next(now, always)->team == "b");
     BOOST_TEST(queue.next(now + UrgentPatience, always)->team == "a");
-    queue.setRemoteUse({{"a", 0.1}, {"b", 0.5}});
+    queue.setRemoteRunning({{"a", 10}, {"b", 50}});
     fill(queue, "a", 1, now, Urgency::Urgent);
     BOOST_TEST(queue.next(now, always)->team == "a");
 }
@@ -101,6 +101,23 @@
     BOOST_TEST(queue.waiting() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(partsBoundTheTurnsAndWorkSentBackKeepsItsPlace)
+{
+    FairQueue queue;
+    queue.setShares({{"a", 0.5}, {"b", 0.5}});
+    const SteadyTime now = steadyNow();
+    fill(queue, "a", 3, now);
+    queue.push({7, "a", 0.01, Urgency::Normal, now - 1s});
+    queue.setParts({{"a", 2}});
+    BOOST_TEST(queue.next(now, always)->id == 7U);
+    BOOST_TEST(queue.next(now, always).has_value());
+    BOOST_TEST(!queue.next(now, always).has_value());
+    queue.release("a", 0.01);
+    BOOST_TEST(queue.next(now, always).has_value());
+    queue.setParts({});
+    BOOST_TEST(queue.next(now, always).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(cancelledWorkLeavesNoTrace)
 {
     FairQueue queue;
--- a/scripts/bench/config.sh
+++ b/scripts/bench/config.sh
@@ -1,4 +1,5 @@
 # time until a configuration is in force on nine nodes, with the log whole, slow, with lost answers, and lost to one node (P10)
+EXTRA_SETTINGS='snapshot-every: 30'
 start_ladderworks 9
 version_of() {
     CLIENT_NODE=$1 client status --output json | sed -n 's/.*"configuration-version": \([0-9]*\).*/\1/p'
@@ -46,6 +47,11 @@
     client maintenance pause --reason "filler $record" >/dev/null
     client maintenance resume --reason "filler $record" >/dev/null
 done
+snapshot_written() {
+    [ "$(metric "${OPERATOR_ADDRESSES[0]}" snapshots_written_total)" -ge 2 ]
+}
+wait_for snapshot_written
+standin_post faults/log '{"listener":-1,"expire-before":40}'
 stop_node 3
 start_node 3 "${ZONES[0]}"
 wait_ready 3
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -15,7 +15,8 @@
     kill -TERM "$pid" 2>/dev/null || true
 }
 
-end_fleet() {
+# Ends all processes of the fleet; another one may be started afterwards.
+stop_fleet() {
     local pid
     for pid in "${NODE_PIDS[@]}"; do
         [ -z "$pid" ] || end_process "$pid"
@@ -25,6 +26,14 @@
     done
     [ -z "$STANDIN_PID" ] || end_process "$STANDIN_PID"
     [ -z "$STANDIN_PID" ] || wait "$STANDIN_PID" 2>/dev/null || true
+    NODE_PIDS=()
+    STANDIN_PID=
+    CALLER_ADDRESSES=()
+    OPERATOR_ADDRESSES=()
+}
+
+end_fleet() {
+    stop_fleet
     rm -rf "$FLEET_DIR"
 }
 trap end_fleet EXIT
@@ -50,6 +59,7 @@
 start_standin() {
     local nodes=$1
     shift
+    : >"$FLEET_DIR/standin.out"
     "$BUILD/tools/cornelquay-standin/cornelquay-standin" --log-listeners "$nodes" "$@" >"$FLEET_DIR/standin.out" 2>"$FLEET_DIR/standin.err" &
     STANDIN_PID=$!
     wait_for test -s "$FLEET_DIR/standin.out"
@@ -122,6 +132,11 @@
     done
 }
 
+# team_key TEAM: TEAM=KEY as granted by grant_keys.
+team_key() {
+    printf '%s\n' "${TEAM_OPTIONS[@]}" | grep "^$1="
+}
+
 target_options() {
     TARGET_OPTIONS=()
     local address
--- a/tools/cornelquayd/main.cpp
+++ b/tools/cornelquayd/main.cpp
@@ -1,7 +1,9 @@
 #include "cornelquay/node.h"
 
 #include <getopt.h>
+#include <unistd.h>
 
+#include <atomic>
 #include <csignal>
 #include <cstdio>
 #include <fstream>
@@ -89,7 +91,14 @@
     std::signal(SIGPIPE, SIG_IGN);
 
     initializeLog(settings.logFormat, settings.name);
-    auto node = Node::Builder().settings(std::move(settings)).build();
+    std::atomic<bool> removed = false;
+    auto node = Node::Builder()
+                    .settings(std::move(settings))
+                    .onRemoved([&removed] {
+                        removed = true;
+                        kill(getpid(), SIGTERM);
+                    })
+                    .build();
     if (!node) {
         std::cerr << "cornelquayd: " << node.error() << '\n';
         return ExitFailure;
@@ -98,7 +107,8 @@
     std::cout << "{\"callers-port\":" << (*node)->callerPort() << ",\"operators-port\":" << (*node)->operatorPort() << "}" << std::endl;
     waitForSignal(signals);
     (*node)->stop();
-    return ExitSuccess;
+    // A removed node ends with a failure, so that its supervisor starts a new incarnation.
+    return removed ? ExitFailure : ExitSuccess;
 }
 
 }
