Recall lent parts; keep one permit for waiting work; serve fairly with enough threads

Cause: urgent work waited up to 26 s. Found by cases: a node that had lent its last permit got none back while its borrower was busy; the first nodes held two of ten permits and the last none; with 256 threads a node's callers waited in the HTTP library's queue, outside the fair order. Change: lenders say in each answer what they want back, borrowers start nothing on it and return it as tasks end; parts that do not divide evenly go by rank; nodes report what they spare although work waits; the measurement gives each node a thread for each caller.

--- a/cornelquay/src/details/limitkeeper.h
+++ b/cornelquay/src/details/limitkeeper.h
@@ -26,6 +26,8 @@
     std::int64_t lent = 0;
     std::int64_t waiting = 0;
     int members = 1;
+    /** This node's place among the members, from 0; the first ones get what does not divide evenly. */
+    int rank = 0;
 };
 
 /** Decides the next change by record; pure. Short-lived needs are met by loans between nodes. */
--- a/cornelquay/src/details/loans.h
+++ b/cornelquay/src/details/loans.h
@@ -42,15 +42,19 @@
     }
 };
 
-/** What the lender adds, and what the borrower has of it in all; less than kept if a loan expired. */
+/**
+ * What the lender adds, what the borrower has of it in all (less than kept if a loan expired), and
+ * how much of that the lender wants back as soon as tasks end.
+ */
 struct LoanGrant {
     std::string team;
     std::int64_t granted = 0;
     std::int64_t total = 0;
+    std::int64_t recalled = 0;
 
     auto fields()
     {
-        return std::tie(team, granted, total);
+        return std::tie(team, granted, total, recalled);
     }
 };
 
@@ -67,6 +71,9 @@
      */
     LoanGrant update(const Incarnation &borrower, const LoanAsk &ask, std::uint64_t sequence, std::int64_t spare, SteadyTime now);
 
+    /** What is lent of one team's limit to @p borrower. */
+    std::int64_t lentTo(const Incarnation &borrower, const std::string &team) const;
+
     /** What is lent of each team's limit, leaving out what came back by expiry. */
     std::map<std::string, std::int64_t> lent(SteadyTime now);
 
@@ -83,6 +90,8 @@
 class BorrowedParts
 {
 public:
+    /** What the lender of one loan wants back. */
+    std::int64_t recalled(const LoanKey &key) const;
     /** What is kept of a loan, as the next ask will say. */
     std::int64_t kept(const LoanKey &key) const;
     /** Gives up to @p count of a loan back; returns how much. The next ask tells the lender. */
@@ -90,6 +99,9 @@
     /** Takes in the answer to an ask sent at @p sentAt, which said @p kept. */
     void confirm(const Incarnation &lender, const LoanGrant &grant, std::int64_t kept, SteadyTime sentAt);
 
+    /** What the lenders want back of each team's limit. */
+    std::map<std::string, std::int64_t> recalled() const;
+
     /** What may be used of each team's limit now. */
     std::map<std::string, std::int64_t> usable(SteadyTime now) const;
     /** The loans of one lender that are not zero. */
@@ -98,6 +110,7 @@
 private:
     struct Loan {
         std::int64_t count = 0;
+        std::int64_t recalled = 0;
         SteadyTime usableUntil;
     };
     std::map<LoanKey, Loan> m_loans;
--- a/cornelquay/src/details/peerkeeper.h
+++ b/cornelquay/src/details/peerkeeper.h
@@ -83,6 +83,7 @@
     void exchangeWithDue(SteadyTime now);
     void sendTo(Peer &peer, const std::map<std::string, TeamLoad> &teams, SteadyTime now);
     std::vector<LoanAsk> asksTo(Peer &peer, const std::map<std::string, TeamLoad> &teams);
+    void returnLoan(const LoanKey &key, bool unused);
     void onReply(const std::string &name, std::uint64_t sequence, SteadyTime sentAt, const std::optional<std::string> &body);
     void takeIn(Peer &peer, const PeerReply &reply, SteadyTime sentAt);
     std::string answer(const Incarnation &from, const std::string &body);
@@ -91,8 +92,9 @@
     PeerLoad load() const;
     void applyLoans(SteadyTime now);
     void applyParts(SteadyTime now);
-    void addPeerDemand(const std::string &pool, SteadyTime now, PoolDemand &demand, std::map<std::string, std::int64_t> &remoteRunning) const;
+    void addDemand(const std::string &pool, SteadyTime now, PoolDemand &demand, std::map<std::string, std::int64_t> &remoteRunning) const;
     void updateView(SteadyTime now);
+    void updateReport(SteadyTime now);
     void removeSilent(SteadyTime now);
     bool isMajorityHeard() const;
 
@@ -104,6 +106,9 @@
     mutable std::mutex m_viewMutex;
     PeerView m_view;
     std::map<std::string, Peer> m_peers;
+    /** This node's demand as told to others, by pool and team. */
+    std::map<std::string, std::map<std::string, PeerDemand>> m_reported;
+    SteadyTime m_reportDueAt;
     LentParts m_lent;
     BorrowedParts m_borrowed;
     Counter m_grantedTotal;
--- a/cornelquay/src/limitkeeper.cpp
+++ b/cornelquay/src/limitkeeper.cpp
@@ -16,7 +16,8 @@
 PartChange decidePart(const PartSituation &situation)
 {
     const std::int64_t members = std::max(1, situation.members);
-    const std::int64_t equalPart = (situation.limit + members - 1) / members;
+    const std::int64_t extra = situation.rank < situation.limit % members ? 1 : 0;
+    const std::int64_t equalPart = situation.limit / members + extra;
     const std::int64_t unused = situation.held - situation.lent - situation.running;
     if (situation.unassigned < 0) {
         // The limit was lowered below what is held: everyone gives up what is not in use.
@@ -118,15 +119,19 @@
             return;
         }
         sequence = state.members.at(m_self.name).limitSequence;
-        const auto members = std::count_if(state.members.begin(), state.members.end(), [](const auto &member) {
-            return member.second.present;
-        });
+        int members = 0;
+        int rank = 0;
+        for (const auto &[name, member] : state.members) {
+            members += member.present ? 1 : 0;
+            rank += member.present && name < m_self.name ? 1 : 0;
+        }
         for (const auto &[team, entry] : state.parsed->teams) {
             PartSituation situation;
             situation.limit = entry.runningLimit;
             situation.unassigned = unassignedLimit(state, team);
             situation.held = heldLimit(state, m_self, team);
-            situation.members = static_cast<int>(members);
+            situation.members = members;
+            situation.rank = rank;
             if (const auto load = loads.find(team); load != loads.end()) {
                 situation.running = load->second.limits.running;
                 situation.lent = load->second.limits.lent;
--- a/cornelquay/src/loans.cpp
+++ b/cornelquay/src/loans.cpp
@@ -8,7 +8,7 @@
 {
     Loan &loan = m_loans[{borrower, ask.team}];
     if (sequence <= loan.sequence) {
-        return {ask.team, 0, loan.count};
+        return {ask.team, 0, loan.count, 0};
     }
     loan.sequence = sequence;
     // A borrower can only keep what it was given; anything above is a fault on its side.
@@ -16,7 +16,13 @@
     const std::int64_t granted = std::clamp<std::int64_t>(ask.wanted, 0, std::max<std::int64_t>(0, spare));
     loan.count += granted;
     loan.heldUntil = now + LoanHold;
-    return {ask.team, granted, loan.count};
+    return {ask.team, granted, loan.count, 0};
+}
+
+std::int64_t LentParts::lentTo(const Incarnation &borrower, const std::string &team) const
+{
+    const auto found = m_loans.find({borrower, team});
+    return found == m_loans.end() ? 0 : found->second.count;
 }
 
 std::map<std::string, std::int64_t> LentParts::lent(SteadyTime now)
@@ -45,6 +51,7 @@
     }
     const std::int64_t returned = std::clamp<std::int64_t>(count, 0, found->second.count);
     found->second.count -= returned;
+    found->second.recalled = std::max<std::int64_t>(0, found->second.recalled - returned);
     return returned;
 }
 
@@ -54,12 +61,30 @@
     Loan &loan = m_loans[key];
     // Given back since the ask was sent: the lender learns of it with the next one.
     loan.count = std::min({loan.count, kept, grant.total - grant.granted}) + grant.granted;
+    loan.recalled = std::min(grant.recalled, loan.count);
     loan.usableUntil = sentAt + LoanUse;
     if (loan.count == 0) {
         m_loans.erase(key);
     }
 }
 
+std::int64_t BorrowedParts::recalled(const LoanKey &key) const
+{
+    const auto found = m_loans.find(key);
+    return found == m_loans.end() ? 0 : found->second.recalled;
+}
+
+std::map<std::string, std::int64_t> BorrowedParts::recalled() const
+{
+    std::map<std::string, std::int64_t> result;
+    for (const auto &[key, loan] : m_loans) {
+        if (loan.recalled > 0) {
+            result[key.team] += loan.recalled;
+        }
+    }
+    return result;
+}
+
 std::map<std::string, std::int64_t> BorrowedParts::usable(SteadyTime now) const
 {
     std::map<std::string, std::int64_t> result;
--- a/cornelquay/src/peerkeeper.cpp
+++ b/cornelquay/src/peerkeeper.cpp
@@ -3,6 +3,7 @@
 #include "telemetry/log.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Cornelquay::Details {
 
@@ -25,6 +26,7 @@
 constexpr std::int64_t LenderReserve = 4;
 /** Parts below one slot go to another node after this time. */
 constexpr std::int64_t RoundMilliseconds = 1000;
+constexpr double SlotAllowance = 1.15;
 constexpr std::size_t RelayBytesMax = 64ULL * 1024;
 
 std::int64_t ageIn(SteadyTime time, SteadyTime now)
@@ -42,6 +44,27 @@
     return result;
 }
 
+std::int64_t waitingOf(const std::map<std::string, TeamLoad> &teams, const std::string &team)
+{
+    const auto found = teams.find(team);
+    return found == teams.end() ? 0 : static_cast<std::int64_t>(found->second.waiting);
+}
+
+std::int64_t countOf(const std::map<std::string, std::int64_t> &counts, const std::string &team)
+{
+    const auto found = counts.find(team);
+    return found == counts.end() ? 0 : found->second;
+}
+
+std::map<std::string, TeamDemand> toTeamDemand(const std::map<std::string, PeerDemand> &teams)
+{
+    std::map<std::string, TeamDemand> result;
+    for (const auto &[team, tasks] : teams) {
+        result[team] = {tasks.running, tasks.waiting};
+    }
+    return result;
+}
+
 std::vector<LogEntry> toLogEntries(const std::vector<RelayedEntry> &entries)
 {
     std::vector<LogEntry> result;
@@ -156,6 +179,7 @@
         lock.unlock();
         const SteadyTime now = steadyNow();
         updateView(now);
+        updateReport(now);
         exchangeWithDue(now);
         applyLoans(now);
         if (m_services.sharesFleetWide) {
@@ -212,13 +236,9 @@
         const LoanKey key{peer.endpoint.node, team};
         const std::int64_t keptBefore = m_borrowed.kept(key);
         const std::int64_t available = load.limits.held + load.limits.borrowed - load.limits.lent - load.limits.running;
-        if (load.waiting == 0 && available > 0 && keptBefore > 0) {
-            // The permits are withheld here before the lender may use them again.
-            m_services.admission->changeLimits([&](TeamLimits &limits) {
-                const std::int64_t unused = std::max<std::int64_t>(0, limits.available(team, steadyNow()));
-                const std::int64_t returned = m_borrowed.giveBack(key, unused);
-                limits.setBorrowed(team, limits.status(steadyNow())[team].borrowed - returned);
-            });
+        const bool unused = load.waiting == 0 && available > 0;
+        if (keptBefore > 0 && (unused || m_borrowed.recalled(key) > 0)) {
+            returnLoan(key, unused);
         }
         const auto spare = peer.load.spare.find(team);
         const bool short_ = load.waiting > 0 && available <= 0 && spare != peer.load.spare.end();
@@ -231,6 +251,19 @@
     return asks;
 }
 
+// The permits are withheld here before the lender may use them again.
+void PeerKeeper::returnLoan(const LoanKey &key, bool unused)
+{
+    m_services.admission->changeLimits([&](TeamLimits &limits) {
+        const std::int64_t recalled = m_borrowed.recalled(key);
+        // What is recalled is not counted as available, so it may be returned on top of that.
+        const std::int64_t free = limits.available(key.team, steadyNow()) + recalled;
+        const std::int64_t returned = m_borrowed.giveBack(key, std::max<std::int64_t>(0, unused ? free : std::min(free, recalled)));
+        limits.setBorrowed(key.team, limits.status(steadyNow())[key.team].borrowed - returned);
+        limits.setRecalled(key.team, m_borrowed.recalled()[key.team]);
+    });
+}
+
 void PeerKeeper::onReply(const std::string &name, std::uint64_t sequence, SteadyTime sentAt, const std::optional<std::string> &body)
 {
     const std::optional<PeerReply> reply = body ? decodePeerReply(*body) : std::nullopt;
@@ -275,14 +308,11 @@
 PeerLoad PeerKeeper::load() const
 {
     PeerLoad load;
-    for (const auto &[pool, teams] : m_services.admission->demand()) {
-        for (const auto &[team, tasks] : teams) {
-            load.demand[pool][team] = {tasks.running, tasks.waiting};
-        }
-    }
+    load.demand = m_reported;
     for (const auto &[team, entry] : m_services.admission->teams()) {
-        const std::int64_t spare = entry.limits.held - entry.limits.lent - entry.limits.running;
-        if (spare > 0 && entry.waiting == 0) {
+        const std::int64_t own = entry.limits.held - entry.limits.lent - entry.limits.running;
+        const std::int64_t spare = own - (entry.waiting > 0 ? 1 : 0);
+        if (spare > 0) {
             load.spare[team] = spare;
         }
     }
@@ -298,7 +328,10 @@
     }
     reply.sequence = request->sequence;
     reply.grants = lend(from, *request);
-    reply.load = load();
+    {
+        const std::lock_guard lock(m_mutex);
+        reply.load = load();
+    }
     reply.entries = toRelayed(m_services.replica->recentEntries(request->position.next, RelayBytesMax));
     reply.position = position(steadyNow());
     return encode(reply);
@@ -312,6 +345,7 @@
         present = isPresent(state, from) && isPresent(state, m_services.self);
     });
     const bool mayLend = present && m_services.mayAcceptWork();
+    const std::map<std::string, TeamLoad> teams = m_services.admission->teams();
     const SteadyTime now = steadyNow();
     const std::lock_guard lock(m_mutex);
     for (const LoanAsk &ask : request.asks) {
@@ -319,9 +353,14 @@
             const TeamLimitStatus status = limits.status(now)[ask.team];
             // Only this node's own part is lent on, never what it has borrowed itself.
             const std::int64_t own = status.held - status.lent - status.running;
-            const std::int64_t spare = mayLend ? own - own / LenderReserve : 0;
-            const LoanGrant grant = m_lent.update(from, ask, request.sequence, spare, now);
+            const std::int64_t reserve = std::max<std::int64_t>(waitingOf(teams, ask.team) > 0 ? 1 : 0, own / LenderReserve);
+            const std::int64_t spare = mayLend ? own - reserve : 0;
+            LoanGrant grant = m_lent.update(from, ask, request.sequence, spare, now);
             limits.setLent(ask.team, m_lent.lent(now)[ask.team]);
+            if (own <= 0) {
+                const std::int64_t waiting = waitingOf(teams, ask.team);
+                grant.recalled = std::min(waiting, m_lent.lentTo(from, ask.team));
+            }
             m_grantedTotal.increment(static_cast<double>(grant.granted));
             grants.push_back(grant);
         });
@@ -335,11 +374,11 @@
     m_services.admission->changeLimits([&](TeamLimits &limits) {
         const std::map<std::string, std::int64_t> borrowed = m_borrowed.usable(now);
         const std::map<std::string, std::int64_t> lent = m_lent.lent(now);
+        const std::map<std::string, std::int64_t> recalled = m_borrowed.recalled();
         for (const auto &[team, status] : limits.status(now)) {
-            const auto in = borrowed.find(team);
-            const auto out = lent.find(team);
-            limits.setBorrowed(team, in == borrowed.end() ? 0 : in->second);
-            limits.setLent(team, out == lent.end() ? 0 : out->second);
+            limits.setBorrowed(team, countOf(borrowed, team));
+            limits.setLent(team, countOf(lent, team));
+            limits.setRecalled(team, countOf(recalled, team));
         }
     });
 }
@@ -355,28 +394,31 @@
     });
     const auto round = static_cast<std::uint64_t>(toUnixMilliseconds(wallNow()) / RoundMilliseconds);
     for (const auto &[pool, teams] : m_services.admission->demand()) {
-        PoolDemand demand{m_services.slotsOf(pool), {{m_services.self.name, teams}}};
+        // Slots between two tasks are idle for a moment; the allowance keeps the pool full.
+        const auto slots = static_cast<std::int64_t>(std::ceil(static_cast<double>(m_services.slotsOf(pool)) * SlotAllowance));
+        PoolDemand demand{slots, {}};
         std::map<std::string, std::int64_t> remoteRunning;
-        addPeerDemand(pool, now, demand, remoteRunning);
+        addDemand(pool, now, demand, remoteRunning);
         m_services.admission->setPoolParts(pool, remoteRunning, fairParts(demand, shares, m_services.self.name, round));
     }
 }
 
-void PeerKeeper::addPeerDemand(const std::string &pool, SteadyTime now, PoolDemand &demand, std::map<std::string, std::int64_t> &remoteRunning) const
+void PeerKeeper::addDemand(const std::string &pool, SteadyTime now, PoolDemand &demand, std::map<std::string, std::int64_t> &remoteRunning) const
 {
     const std::lock_guard lock(m_mutex);
+    if (const auto own = m_reported.find(pool); own != m_reported.end()) {
+        demand.nodes.push_back({m_services.self.name, toTeamDemand(own->second)});
+    }
     for (const auto &[name, peer] : m_peers) {
         const auto teams = peer.load.demand.find(pool);
         const bool heard = peer.heardAt != SteadyTime() && now - peer.heardAt <= ReachableAge;
         if (!heard || teams == peer.load.demand.end()) {
             continue;
         }
-        NodeDemand node{name, {}};
         for (const auto &[team, tasks] : teams->second) {
-            node.teams[team] = {tasks.running, tasks.waiting};
             remoteRunning[team] += tasks.running;
         }
-        demand.nodes.push_back(std::move(node));
+        demand.nodes.push_back({name, toTeamDemand(teams->second)});
     }
 }
 
@@ -386,6 +428,22 @@
     return m_view;
 }
 
+// What others are told is also what this node computes its own parts from, so that all agree.
+void PeerKeeper::updateReport(SteadyTime now)
+{
+    std::map<std::string, std::map<std::string, PeerDemand>> report;
+    for (const auto &[pool, teams] : m_services.admission->demand()) {
+        for (const auto &[team, tasks] : teams) {
+            report[pool][team] = {tasks.running, tasks.waiting};
+        }
+    }
+    const std::lock_guard lock(m_mutex);
+    if (now >= m_reportDueAt) {
+        m_reported = std::move(report);
+        m_reportDueAt = now + ExchangeInterval;
+    }
+}
+
 void PeerKeeper::updateView(SteadyTime now)
 {
     const std::lock_guard lock(m_mutex);
--- a/cornelquay/tests/policytest.cpp
+++ b/cornelquay/tests/policytest.cpp
@@ -59,7 +59,9 @@
     };
     const PartCase cases[] = {
         {"a first node takes all", {10, 10, 0, 0, 0, 0, 1}, 10},
-        {"one of three takes a third", {10, 10, 0, 0, 0, 0, 3}, 4},
+        {"the first of three takes a third and the rest", {10, 10, 0, 0, 0, 0, 3, 0}, 4},
+        {"the last of three takes a third", {10, 10, 0, 0, 0, 0, 3, 2}, 3},
+        {"fewer permits than nodes", {2, 2, 0, 0, 0, 0, 3, 2}, 0},
         {"no more than what is left", {10, 2, 0, 0, 0, 0, 3}, 2},
         {"nothing left", {10, 0, 0, 0, 0, 0, 3}, 0},
         {"more than its part, unused", {10, 0, 10, 2, 0, 0, 3}, -6},
--- a/libs/admission/include/admission/teamlimits.h
+++ b/libs/admission/include/admission/teamlimits.h
@@ -16,6 +16,8 @@
     /** Parts on loan from other nodes, and to them. */
     std::int64_t borrowed = 0;
     std::int64_t lent = 0;
+    /** Of what is borrowed, what the lender wants back: no new task starts on it. */
+    std::int64_t recalled = 0;
     std::int64_t running = 0;
 };
 
@@ -34,6 +36,7 @@
     void setHeld(const std::string &team, std::int64_t count);
     void setBorrowed(const std::string &team, std::int64_t count);
     void setLent(const std::string &team, std::int64_t count);
+    void setRecalled(const std::string &team, std::int64_t count);
 
     /** Takes a permit; whether there was one. */
     bool take(const std::string &team, SteadyTime now);
@@ -44,6 +47,8 @@
     /** Permits that are free now. */
     std::int64_t available(const std::string &team, SteadyTime now);
     bool mayTake(const std::string &team, SteadyTime now);
+    /** Whether more is running than the parts allow, as after a loan that was not confirmed. */
+    bool isOver(const std::string &team, SteadyTime now);
 
     std::map<std::string, TeamLimitStatus> status(SteadyTime now);
 
--- a/libs/admission/src/admission.cpp
+++ b/libs/admission/src/admission.cpp
@@ -329,7 +329,7 @@
 bool Admission::isOverLimit(const std::string &team) const
 {
     const std::lock_guard lock(m_impl->mutex);
-    return m_impl->teamLimits.available(team, steadyNow()) < 0;
+    return m_impl->teamLimits.isOver(team, steadyNow());
 }
 
 std::chrono::milliseconds Admission::retryAfter(const std::string &pool) const
--- a/libs/admission/src/teamlimits.cpp
+++ b/libs/admission/src/teamlimits.cpp
@@ -19,9 +19,14 @@
     m_teams[team].status.lent = count;
 }
 
+void TeamLimits::setRecalled(const std::string &team, std::int64_t count)
+{
+    m_teams[team].status.recalled = count;
+}
+
 std::int64_t TeamLimits::availableOf(const TeamLimitStatus &status)
 {
-    return status.held + status.borrowed - status.lent - status.running;
+    return status.held + status.borrowed - status.recalled - status.lent - status.running;
 }
 
 void TeamLimits::freeDue(Entry &entry, SteadyTime now)
@@ -64,6 +69,11 @@
     return available(team, now) > 0;
 }
 
+bool TeamLimits::isOver(const std::string &team, SteadyTime now)
+{
+    return available(team, now) + m_teams[team].status.recalled < 0;
+}
+
 std::map<std::string, TeamLimitStatus> TeamLimits::status(SteadyTime now)
 {
     std::map<std::string, TeamLimitStatus> result;
--- a/scripts/bench/fairness.sh
+++ b/scripts/bench/fairness.sh
@@ -1,4 +1,5 @@
 # nearness to share in 10 s windows while the fleet is full, nine nodes, skewed balancer, and both baselines
+CALLER_THREADS=1024
 TEAM_SHARES="brennan:0.35 dunmore:0.35 cork-retail:0.1 waterford-joinery:0.1 schools:0.05 depot:0.05"
 
 # nearness BEFORE AFTER: mean and largest of |got - share| / share between two ledger files.
