--- a/cornelquay/src/details/httpserver.h
+++ b/cornelquay/src/details/httpserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cornelquay/nodesettings.h"
+#include "details/certificate.h"
 
 #include <httplib.h>
 
@@ -13,7 +14,8 @@
 /**
  * One HTTP listener with its threads. Private to the servers' sources: it shows the HTTP library.
  *
- * Created bound; handlers are added to server() before start().
+ * Created bound; handlers are added to server() before start(). With TLS, the certificate is read
+ * anew when its file has changed, so that renewals need no restart.
  */
 class HttpServer
 {
@@ -34,6 +36,7 @@
 
 private:
     ListenerSettings m_settings;
+    std::unique_ptr<Certificate> m_certificate;
     std::unique_ptr<httplib::Server> m_server;
     int m_port = -1;
     std::atomic<bool> m_draining = false;
--- a/cornelquay/src/httpserver.cpp
+++ b/cornelquay/src/httpserver.cpp
@@ -15,8 +15,19 @@
 
 HttpServer::HttpServer(const ListenerSettings &settings)
     : m_settings(settings)
-    , m_server(std::make_unique<httplib::Server>())
 {
+    if (m_settings.tls.certificate.empty()) {
+        m_server = std::make_unique<httplib::Server>();
+    } else {
+        m_certificate = std::make_unique<Certificate>(m_settings.tls);
+        m_server = std::make_unique<httplib::SSLServer>([this](SSL_CTX &context) {
+            m_certificate->installInto(context);
+            return m_certificate->isUsable();
+        });
+    }
+    if (!m_server->is_valid()) {
+        return;
+    }
     m_server->new_task_queue = [threads = settings.threads] {
         return new httplib::ThreadPool(threads);
     };
--- a/libs/operatorclient/include/operatorclient/commandline.h
+++ b/libs/operatorclient/include/operatorclient/commandline.h
@@ -66,6 +66,8 @@
     /** Nodes to ask, in this order until one can be reached. */
     std::vector<Address> nodes;
     std::string token;
+    /** Certificates to trust; if not empty, nodes are reached by TLS. */
+    std::string tlsTrustFile;
     OutputFormat output = OutputFormat::Text;
     ClientCommand command;
 };
--- a/libs/operatorclient/src/client.cpp
+++ b/libs/operatorclient/src/client.cpp
@@ -178,7 +178,11 @@
     {
         const httplib::Headers headers{{"Authorization", "Bearer " + m_options.token}};
         for (const Address &node : m_options.nodes) {
-            httplib::Client client(node.host, node.port);
+            const bool tls = !m_options.tlsTrustFile.empty();
+            httplib::Client client((tls ? "https://" : "http://") + toText(node));
+            if (tls) {
+                client.set_ca_cert_path(m_options.tlsTrustFile);
+            }
             client.set_connection_timeout(2s);
             client.set_read_timeout(timeout);
             const httplib::Result result = call(client, headers);
--- a/libs/operatorclient/src/commandline.cpp
+++ b/libs/operatorclient/src/commandline.cpp
@@ -14,6 +14,7 @@
 struct RawOptions {
     std::vector<std::string> nodes;
     std::string tokenFile;
+    std::string tlsTrustFile;
     std::string output = "text";
     std::string reason;
     std::string baseVersion;
@@ -47,6 +48,7 @@
   --node ADDRESS             a node's operators' address; may be repeated (CORNELQUAY_NODE)
   --token-file FILE          the operator's token (CORNELQUAY_TOKEN)
   --reason TEXT              why, for the audit trail
+  --tls-trust FILE           reach the node by TLS and trust the certificates in FILE
   --output text|json         how to print (text)
   --help, --version
 
@@ -70,6 +72,7 @@
                                   {"reason", required_argument, nullptr, 'r'},
                                   {"base-version", required_argument, nullptr, 'b'},
                                   {"dry-run", no_argument, nullptr, 'd'},
+                                  {"tls-trust", required_argument, nullptr, 'T'},
                                   {"help", no_argument, nullptr, 'h'},
                                   {"version", no_argument, nullptr, 'v'},
                                   {nullptr, 0, nullptr, 0}};
@@ -93,6 +96,9 @@
         case 't':
             raw.tokenFile = optarg;
             break;
+        case 'T':
+            raw.tlsTrustFile = optarg;
+            break;
         case 'o':
             raw.output = optarg;
             break;
@@ -320,6 +326,7 @@
     if (options.nodes.empty() && !std::holds_alternative<CheckCommand>(options.command)) {
         return wrong("there is no --node");
     }
+    options.tlsTrustFile = raw.tlsTrustFile;
     options.token = raw.tokenFile.empty() ? tokenDefault : firstLine(raw.tokenFile);
     return options;
 }
