Maintain instances in waves within the availability budgets

Cause: nothing decided or carried out maintenance. Change: pure decisions (budget, dependencies, zones, an alarm when failures go with the wave); every node may carry an outage on, fenced by the grant's offset and time limit; client commands. Conclusion: to be measured with real processes next.

--- a/cornelquay/src/fleetviews.cpp
+++ b/cornelquay/src/fleetviews.cpp
@@ -1,5 +1,6 @@
 #include "details/fleetviews.h"
 
+#include "capacity/wave.h"
 #include "configuration/difference.h"
 #include "configuration/reader.h"
 
@@ -205,6 +206,11 @@
 {
     Json view;
     view["paused"] = state.maintenancePaused;
+    const WaveProgress progress = waveProgress(state);
+    view["wave-started-at-ms"] = progress.startedAt;
+    view["done"] = progress.done;
+    view["left"] = progress.left;
+    view["held-up-by-failures"] = progress.held;
     view["period-hours"] = state.parsed->policy.maintenancePeriod.count();
     view["out"] = Json::array();
     for (const auto &[name, instance] : state.instances) {
--- a/cornelquay/src/node.cpp
+++ b/cornelquay/src/node.cpp
@@ -6,6 +6,7 @@
 #include "details/limitkeeper.h"
 #include "details/operatorserver.h"
 #include "details/peerkeeper.h"
+#include "details/wavekeeper.h"
 #include "telemetry/log.h"
 
 #include <atomic>
@@ -49,6 +50,7 @@
     Details::InstanceKeeper instances;
     Details::LimitKeeper limits;
     Details::PeerKeeper peers;
+    Details::WaveKeeper waves;
     Details::CallerServer callers;
     Details::OperatorServer operators;
 
@@ -101,6 +103,14 @@
     , instances(*replica, platform, upstreams, self, metrics)
     , limits(*replica, admission, self)
     , peers(peerServices())
+    , waves(
+          *replica,
+          platform,
+          self,
+          [this] {
+              return !removed && Details::isAllowed(Details::ViewAction::ChangeInstances, viewState());
+          },
+          metrics)
     , callers(settings, callerServices(), metrics)
     , operators(settings, operatorServices())
 {
@@ -295,6 +305,7 @@
     m_impl->instances.start();
     m_impl->limits.start();
     m_impl->peers.start();
+    m_impl->waves.start();
     m_impl->operators.start();
     m_impl->callers.start();
     m_impl->joiner = std::thread([this] {
@@ -316,6 +327,7 @@
         });
     }
     m_impl->callers.stop();
+    m_impl->waves.stop();
     m_impl->limits.stop();
     m_impl->instances.stop();
     m_impl->claims.stop();
--- a/cornelquay/src/operatorserver.cpp
+++ b/cornelquay/src/operatorserver.cpp
@@ -246,6 +246,23 @@
                     const std::string keyId = request.matches[1];
                     proposeAndAnswer(KeyWithdrawn{keyId}, who, textOf(body, "reason"), {{"key", keyId}}, response);
                 }));
+    server.Post("/v1/maintenance/start", command([this](const std::string &who, const Json &body, const httplib::Request &, httplib::Response &response) {
+        std::int64_t after = 0;
+        services.replica->query([&](const FleetState &state) {
+            after = state.waveStartedAt;
+        });
+        proposeAndAnswer(WaveStarted{after}, who, textOf(body, "reason"), Json::object(), response);
+    }));
+    server.Post("/v1/maintenance/skip/([A-Za-z0-9._-]+)",
+                command([this](const std::string &who, const Json &body, const httplib::Request &request, httplib::Response &response) {
+                    const std::string instance = request.matches[1];
+                    std::uint64_t sequence = 0;
+                    services.replica->query([&](const FleetState &state) {
+                        const auto found = state.instances.find(instance);
+                        sequence = found == state.instances.end() ? 0 : found->second.sequence;
+                    });
+                    proposeAndAnswer(MaintenanceSkipped{instance, sequence}, who, textOf(body, "reason"), {{"instance", instance}}, response);
+                }));
     server.Post("/v1/maintenance/(pause|resume)",
                 command([this](const std::string &who, const Json &body, const httplib::Request &request, httplib::Response &response) {
                     const bool paused = request.matches[1] == "pause";
--- /dev/null
+++ b/cornelquay/tests/wavekeepertest.cpp
@@ -0,0 +1,42 @@
+#include "details/wavekeeper.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Cornelquay;
+using namespace Cornelquay::Details;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_CASE(eachStepFollowsFromRecordsAndList)
+{
+    struct StepCase {
+        const char *what;
+        ListedState state;
+        std::uint64_t listedIncarnation;
+        std::int64_t listedMaintainedAt;
+        std::chrono::milliseconds sinceTimeLimit;
+        OutageStep expected;
+    };
+    const StepCase cases[] = {
+        {"granted", ListedState::Live, 1, 100, -1s, OutageStep::Drain},
+        {"granted, but the holder was paused too long", ListedState::Live, 1, 100, 1s, OutageStep::EndUnmaintained},
+        {"draining", ListedState::Draining, 1, 100, -1s, OutageStep::Wait},
+        {"drained", ListedState::Drained, 1, 100, 1s, OutageStep::Reboot},
+        {"rebooting", ListedState::Rebooting, 1, 100, 1s, OutageStep::Wait},
+        {"back, not enrolled yet", ListedState::Live, 2, 200, 1s, OutageStep::Wait},
+        {"back and enrolled", ListedState::Live, 1, 200, 1s, OutageStep::EndMaintained},
+        {"leaving for good", ListedState::Leaving, 1, 100, 1s, OutageStep::Wait},
+    };
+    const WallTime now = wallNow();
+    for (const StepCase &entry : cases) {
+        InstanceEntry instance;
+        instance.incarnation = 1;
+        instance.maintainedAt = 100;
+        instance.beginBefore = toUnixMilliseconds(now - entry.sinceTimeLimit);
+        ListedInstance listed;
+        listed.state = entry.state;
+        listed.incarnation = entry.listedIncarnation;
+        listed.maintainedAt = entry.listedMaintainedAt;
+        BOOST_TEST((nextStep(instance, &listed, now) == entry.expected), entry.what);
+    }
+    BOOST_TEST((nextStep(InstanceEntry{}, nullptr, now) == OutageStep::Wait));
+}
--- /dev/null
+++ b/libs/capacity/src/wave.cpp
@@ -0,0 +1,235 @@
+#include "capacity/wave.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <map>
+#include <set>
+
+namespace Cornelquay {
+
+namespace {
+
+constexpr int AlarmFailuresLeast = 2;
+constexpr double AlarmRateLeast = 0.1;
+constexpr double AlarmRateFactor = 3.0;
+
+using NamedInstance = std::pair<const std::string, InstanceEntry>;
+
+bool isOut(const InstanceEntry &instance)
+{
+    return instance.state == InstanceState::PlannedOutage || instance.state == InstanceState::Failed;
+}
+
+bool isDue(const FleetState &state, const InstanceEntry &instance)
+{
+    return instance.maintainedAt < state.waveStartedAt;
+}
+
+/** One pool during a decision. */
+struct PoolWave {
+    int budget = 0;
+    int out = 0;
+    std::set<std::string> zonesOut;
+    /** Due and in service. */
+    std::vector<const NamedInstance *> candidates;
+    /** Pools of services that depend on its services, or that they depend on. */
+    std::set<std::string> neighbours;
+};
+
+using PoolWaves = std::map<std::string, PoolWave>;
+
+void addNeighbours(const Configuration &configuration, PoolWaves &pools)
+{
+    for (const auto &[name, service] : configuration.services) {
+        for (const std::string &dependency : service.dependsOn) {
+            const auto other = configuration.services.find(dependency);
+            if (other != configuration.services.end() && other->second.pool != service.pool) {
+                pools[service.pool].neighbours.insert(other->second.pool);
+                pools[other->second.pool].neighbours.insert(service.pool);
+            }
+        }
+    }
+}
+
+PoolWaves makePools(const FleetState &state)
+{
+    PoolWaves pools;
+    for (const auto &[name, pool] : state.parsed->pools) {
+        pools[name].budget = poolBudget(*state.parsed, name);
+    }
+    addNeighbours(*state.parsed, pools);
+    for (const auto &entry : state.instances) {
+        const InstanceEntry &instance = entry.second;
+        PoolWave &pool = pools[instance.pool];
+        if (isOut(instance)) {
+            pool.out += 1;
+            pool.zonesOut.insert(instance.zone);
+        } else if (instance.state == InstanceState::InService && isDue(state, instance)) {
+            pool.candidates.push_back(&entry);
+        }
+    }
+    return pools;
+}
+
+// The spare pool serves nothing; all of it may be out, but a part stays at hand for moves.
+int effectiveBudget(const PoolWave &pool)
+{
+    if (pool.budget != std::numeric_limits<int>::max()) {
+        return pool.budget;
+    }
+    const auto half = static_cast<int>((pool.candidates.size() + 1) / 2);
+    return std::max(1, half);
+}
+
+/** Whether one more instance of a pool may go out, as each policy sees it. */
+struct MayGrant {
+    const PoolWaves &pools;
+    const PoolWave &pool;
+
+    bool operator()(const OneAtATimeWaves &) const
+    {
+        return pool.out == 0;
+    }
+    bool operator()(const BudgetOnlyWaves &) const
+    {
+        return pool.out < effectiveBudget(pool);
+    }
+    bool operator()(const DependencyAwareWaves &) const
+    {
+        if (pool.out >= effectiveBudget(pool)) {
+            return false;
+        }
+        const bool reachesEdge = pool.out + 1 >= effectiveBudget(pool);
+        return std::none_of(pool.neighbours.begin(), pool.neighbours.end(), [&](const std::string &name) {
+            const PoolWave &neighbour = pools.at(name);
+            const bool neighbourAtEdge = neighbour.out > 0 && neighbour.out >= effectiveBudget(neighbour);
+            return neighbourAtEdge || (reachesEdge && neighbour.out > 0);
+        });
+    }
+};
+
+void sortCandidates(PoolWave &pool)
+{
+    std::sort(pool.candidates.begin(), pool.candidates.end(), [&](const NamedInstance *a, const NamedInstance *b) {
+        const bool aWithOut = pool.zonesOut.contains(a->second.zone);
+        const bool bWithOut = pool.zonesOut.contains(b->second.zone);
+        if (aWithOut != bWithOut) {
+            return aWithOut;
+        }
+        return std::tie(a->second.maintainedAt, a->second.zone, a->first) < std::tie(b->second.maintainedAt, b->second.zone, b->first);
+    });
+}
+
+/** Rounds that a pool still needs at its full budget; the longest goes first. */
+double roundsLeft(const PoolWave &pool)
+{
+    return std::ceil(static_cast<double>(pool.candidates.size()) / std::max(1, effectiveBudget(pool)));
+}
+
+std::vector<std::string> byRoundsLeft(const PoolWaves &pools)
+{
+    std::vector<std::string> names;
+    for (const auto &[name, pool] : pools) {
+        if (!pool.candidates.empty()) {
+            names.push_back(name);
+        }
+    }
+    std::stable_sort(names.begin(), names.end(), [&](const std::string &a, const std::string &b) {
+        return roundsLeft(pools.at(a)) > roundsLeft(pools.at(b));
+    });
+    return names;
+}
+
+}
+
+std::vector<WaveDecision> decideWave(const FleetState &state, const WavePolicy &policy)
+{
+    std::vector<WaveDecision> decisions;
+    if (state.maintenancePaused || state.waveStartedAt == 0) {
+        return decisions;
+    }
+    PoolWaves pools = makePools(state);
+    for (const std::string &name : byRoundsLeft(pools)) {
+        PoolWave &pool = pools.at(name);
+        sortCandidates(pool);
+        const int budget = effectiveBudget(pool);
+        for (const NamedInstance *candidate : pool.candidates) {
+            if (!std::visit(MayGrant{pools, pool}, policy)) {
+                break;
+            }
+            pool.out += 1;
+            const std::string reason = "wave: pool '" + name + "' has " + std::to_string(pool.out) + " of " + std::to_string(budget) + " out with it";
+            decisions.push_back({candidate->first, candidate->second.sequence, reason});
+        }
+    }
+    return decisions;
+}
+
+bool isWaveDue(const FleetState &state, std::int64_t now, double dueFraction)
+{
+    const double period = static_cast<double>(std::chrono::milliseconds(state.parsed->policy.maintenancePeriod).count());
+    std::int64_t oldest = now;
+    bool running = false;
+    for (const auto &[name, instance] : state.instances) {
+        oldest = std::min(oldest, instance.maintainedAt);
+        running = running || isDue(state, instance);
+    }
+    return !running && static_cast<double>(now - oldest) >= dueFraction * period;
+}
+
+std::optional<WaveAlarm> findWaveAlarm(const FleetState &state)
+{
+    int maintained = 0;
+    int failedAfterwards = 0;
+    int others = 0;
+    int othersFailed = 0;
+    for (const auto &[name, instance] : state.instances) {
+        const bool failed = instance.state == InstanceState::Failed;
+        if (state.waveStartedAt > 0 && !isDue(state, instance)) {
+            maintained += 1;
+            failedAfterwards += failed ? 1 : 0;
+        } else {
+            others += 1;
+            othersFailed += failed ? 1 : 0;
+        }
+    }
+    if (failedAfterwards < AlarmFailuresLeast) {
+        return std::nullopt;
+    }
+    const double rate = static_cast<double>(failedAfterwards) / maintained;
+    const double otherRate = others == 0 ? 0 : static_cast<double>(othersFailed) / others;
+    if (rate < AlarmRateLeast || rate < AlarmRateFactor * otherRate) {
+        return std::nullopt;
+    }
+    const std::string reason = std::to_string(failedAfterwards) + " of " + std::to_string(maintained) + " instances failed after their maintenance, "
+        + std::to_string(othersFailed) + " of " + std::to_string(others) + " others";
+    return WaveAlarm{maintained, failedAfterwards, reason};
+}
+
+WaveProgress waveProgress(const FleetState &state)
+{
+    WaveProgress progress;
+    progress.startedAt = state.waveStartedAt;
+    for (const auto &[name, instance] : state.instances) {
+        if (instance.state == InstanceState::PlannedOutage) {
+            progress.out += 1;
+        } else if (isDue(state, instance)) {
+            progress.left += 1;
+        } else {
+            progress.done += 1;
+        }
+    }
+    for (const auto &[name, pool] : makePools(state)) {
+        int planned = 0;
+        for (const auto &[instanceName, instance] : state.instances) {
+            planned += instance.pool == name && instance.state == InstanceState::PlannedOutage ? 1 : 0;
+        }
+        if (!pool.candidates.empty() && planned == 0 && pool.out >= effectiveBudget(pool)) {
+            progress.held.push_back(name);
+        }
+    }
+    return progress;
+}
+
+}
--- a/libs/fleet/include/fleet/fleetstate.h
+++ b/libs/fleet/include/fleet/fleetstate.h
@@ -43,6 +43,8 @@
     std::vector<QuarantinedPart> quarantine;
     std::map<std::string, InstanceEntry> instances;
     bool maintenancePaused = false;
+    /** Log time at which the newest wave began; 0 if there was none. */
+    std::int64_t waveStartedAt = 0;
 
     std::unordered_map<ClaimKey, ClaimEntry, IdentifierHash> claims;
     /** Claims in order of expiry; derived from claims. */
--- a/libs/fleet/src/configurationfold.cpp
+++ b/libs/fleet/src/configurationfold.cpp
@@ -56,4 +56,13 @@
     return accepted();
 }
 
+Verdict apply(FleetState &state, const WaveStarted &body, const Place &place)
+{
+    if (body.after != state.waveStartedAt) {
+        return refused("another wave began meanwhile");
+    }
+    state.waveStartedAt = place.appendedAt;
+    return accepted();
+}
+
 }
--- a/libs/fleet/src/details/folds.h
+++ b/libs/fleet/src/details/folds.h
@@ -27,6 +27,7 @@
 Verdict apply(FleetState &state, const KeyGranted &body, const Place &place);
 Verdict apply(FleetState &state, const KeyWithdrawn &body, const Place &place);
 Verdict apply(FleetState &state, const MaintenancePaused &body, const Place &place);
+Verdict apply(FleetState &state, const WaveStarted &body, const Place &place);
 
 // memberfold.cpp
 Verdict apply(FleetState &state, const NodeJoined &body, const Place &place);
@@ -48,5 +49,6 @@
 Verdict apply(FleetState &state, const OutageEnded &body, const Place &place);
 Verdict apply(FleetState &state, const InstanceFailed &body, const Place &place);
 Verdict apply(FleetState &state, const InstanceRecovered &body, const Place &place);
+Verdict apply(FleetState &state, const MaintenanceSkipped &body, const Place &place);
 
 }
--- a/libs/fleet/src/fold.cpp
+++ b/libs/fleet/src/fold.cpp
@@ -26,6 +26,11 @@
     return {"configuration", body.baseVersion};
 }
 
+Subject subjectOf(const WaveStarted &body)
+{
+    return {"wave", static_cast<std::uint64_t>(body.after)};
+}
+
 Subject subjectOf(const MaintenancePaused &body)
 {
     return {body.paused ? "paused" : "resumed", 0};
--- a/libs/fleet/src/instancefold.cpp
+++ b/libs/fleet/src/instancefold.cpp
@@ -163,4 +163,18 @@
     return accepted();
 }
 
+Verdict apply(FleetState &state, const MaintenanceSkipped &body, const Place &)
+{
+    InstanceEntry *instance = find(state, body.instance, body.sequence);
+    if (instance == nullptr) {
+        return changedMeanwhile(state, body.instance);
+    }
+    if (instance->maintainedAt >= state.waveStartedAt) {
+        return refused("the instance is not due in this wave");
+    }
+    instance->maintainedAt = state.waveStartedAt;
+    instance->sequence += 1;
+    return accepted();
+}
+
 }
--- a/libs/fleet/src/snapshot.cpp
+++ b/libs/fleet/src/snapshot.cpp
@@ -35,13 +35,14 @@
     std::vector<QuarantinedPart> quarantine;
     std::map<std::string, InstanceEntry> instances;
     bool maintenancePaused = false;
+    std::int64_t waveStartedAt = 0;
     std::vector<StoredClaim> claims;
     std::vector<std::string> instanceNames;
     std::vector<AuditEntry> audit;
 
     auto fields()
     {
-        return std::tie(version, next, logTime, configuration, keys, members, quarantine, instances, maintenancePaused, claims, instanceNames, audit);
+        return std::tie(version, next, logTime, configuration, keys, members, quarantine, instances, maintenancePaused, waveStartedAt, claims, instanceNames, audit);
     }
 };
 
@@ -70,6 +71,7 @@
     stored.quarantine = state.quarantine;
     stored.instances = state.instances;
     stored.maintenancePaused = state.maintenancePaused;
+    stored.waveStartedAt = state.waveStartedAt;
     stored.claims = storedClaims(state);
     stored.instanceNames = state.instanceNames;
     stored.audit.assign(state.audit.begin(), state.audit.end());
@@ -99,6 +101,7 @@
     state.quarantine = std::move(stored.quarantine);
     state.instances = std::move(stored.instances);
     state.maintenancePaused = stored.maintenancePaused;
+    state.waveStartedAt = stored.waveStartedAt;
     state.instanceNames = std::move(stored.instanceNames);
     state.audit.assign(stored.audit.begin(), stored.audit.end());
     restoreClaims(state, stored.claims);
--- a/libs/operatorclient/include/operatorclient/commandline.h
+++ b/libs/operatorclient/include/operatorclient/commandline.h
@@ -53,9 +53,18 @@
     std::string reason;
 };
 
-/** Stops or restarts maintenance. */
+/** What an operator does about maintenance. */
+enum class MaintenanceAction {
+    Start,
+    Pause,
+    Resume,
+    Skip,
+};
+
+/** Starts a wave, stops or restarts maintenance, or puts one instance off until the next wave. */
 struct MaintenanceCommand {
-    bool pause = false;
+    MaintenanceAction action = MaintenanceAction::Pause;
+    std::string instance;
     std::string reason;
 };
 
--- a/libs/operatorclient/src/client.cpp
+++ b/libs/operatorclient/src/client.cpp
@@ -67,6 +67,21 @@
     }
 }
 
+std::string pathOf(const MaintenanceCommand &command)
+{
+    switch (command.action) {
+    case MaintenanceAction::Start:
+        return "/v1/maintenance/start";
+    case MaintenanceAction::Pause:
+        return "/v1/maintenance/pause";
+    case MaintenanceAction::Resume:
+        return "/v1/maintenance/resume";
+    case MaintenanceAction::Skip:
+        break;
+    }
+    return "/v1/maintenance/skip/" + command.instance;
+}
+
 /** Carries out commands; one overload for each kind. */
 class Runner
 {
@@ -143,7 +158,7 @@
 
     ClientExit operator()(const MaintenanceCommand &command)
     {
-        return print(send(command.pause ? "/v1/maintenance/pause" : "/v1/maintenance/resume", {{"reason", command.reason}}));
+        return print(send(pathOf(command), {{"reason", command.reason}}));
     }
 
 private:
--- a/libs/operatorclient/src/commandline.cpp
+++ b/libs/operatorclient/src/commandline.cpp
@@ -42,7 +42,9 @@
       --dry-run              only show what would change
   key grant TEAM             give TEAM a new key; it is shown this once
   key withdraw KEY-ID        end a key
+  maintenance start          begin a wave: every instance is maintained once
   maintenance pause | maintenance resume
+  maintenance skip INSTANCE  put INSTANCE off until the next wave
 
 Options:
   --node ADDRESS             a node's operators' address; may be repeated (CORNELQUAY_NODE)
@@ -145,6 +147,11 @@
     return QueryCommand{path};
 }
 
+ClientCommand maintenance(MaintenanceAction action, const std::string &instance, const RawOptions &raw)
+{
+    return MaintenanceCommand{action, instance, raw.reason};
+}
+
 const std::map<std::string, CommandShape> &commandShapes()
 {
     using Arguments = std::vector<std::string>;
@@ -185,18 +192,10 @@
           [](const RawOptions &, const Arguments &) {
               return query("/v1/maintenance");
           }}},
-        {"maintenance pause",
-         {0,
-          0,
-          [](const RawOptions &raw, const Arguments &) {
-              return ClientCommand(MaintenanceCommand{true, raw.reason});
-          }}},
-        {"maintenance resume",
-         {0,
-          0,
-          [](const RawOptions &raw, const Arguments &) {
-              return ClientCommand(MaintenanceCommand{false, raw.reason});
-          }}},
+        {"maintenance start", {0, 0, [](const RawOptions &raw, const Arguments &) { return maintenance(MaintenanceAction::Start, "", raw); }}},
+        {"maintenance pause", {0, 0, [](const RawOptions &raw, const Arguments &) { return maintenance(MaintenanceAction::Pause, "", raw); }}},
+        {"maintenance resume", {0, 0, [](const RawOptions &raw, const Arguments &) { return maintenance(MaintenanceAction::Resume, "", raw); }}},
+        {"maintenance skip", {1, 1, [](const RawOptions &raw, const Arguments &words) { return maintenance(MaintenanceAction::Skip, words[0], raw); }}},
         {"config show",
          {0,
           0,
--- a/libs/records/include/records/record.h
+++ b/libs/records/include/records/record.h
@@ -272,6 +272,28 @@
     }
 };
 
+/** Every instance maintained before this record is due. */
+struct WaveStarted {
+    /** Log time of the wave before, as the proposer saw it; holds if no other wave began since. */
+    std::int64_t after = 0;
+
+    auto fields()
+    {
+        return std::tie(after);
+    }
+};
+
+/** An operator puts an instance off until the next wave. */
+struct MaintenanceSkipped {
+    std::string instance;
+    std::uint64_t sequence = 0;
+
+    auto fields()
+    {
+        return std::tie(instance, sequence);
+    }
+};
+
 /** A piece of the state as of an offset; all pieces together replace the records before it. */
 struct SnapshotChunk {
     RecordId snapshotId{};
@@ -306,7 +328,9 @@
                                 InstanceFailed,
                                 InstanceRecovered,
                                 MaintenancePaused,
-                                SnapshotChunk>;
+                                SnapshotChunk,
+                                WaveStarted,
+                                MaintenanceSkipped>;
 
 /** One entry of the log as its author proposes it. */
 struct Record {
--- a/libs/records/tests/codectest.cpp
+++ b/libs/records/tests/codectest.cpp
@@ -36,6 +36,8 @@
         InstanceRecovered{"w1", 4},
         MaintenancePaused{true},
         SnapshotChunk{newRecordId(), 5, 0, 1, std::string("\0x", 2)},
+        WaveStarted{7},
+        MaintenanceSkipped{"w1", 5},
     };
     BOOST_TEST(bodies.size() == std::variant_size_v<RecordBody>);
     for (const RecordBody &body : bodies) {
