--- /dev/null
+++ b/cornelquay/benchmark/main.cpp
@@ -0,0 +1,284 @@
+#include "capacity/wave.h"
+#include "details/peermessages.h"
+#include "fleet/snapshot.h"
+#include "measurement.h"
+#include "records/codec.h"
+#include "replica/replica.h"
+#include "synthetic.h"
+
+#include <charconv>
+#include <cmath>
+#include <iostream>
+#include <map>
+
+using namespace Cornelquay;
+using namespace Cornelquay::Benchmark;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr double FoldTargetMicroseconds = 20;
+constexpr double DecideTargetMilliseconds = 100;
+constexpr double MemoryTargetMiB = 128;
+constexpr double MicrosecondsPerSecond = 1e6;
+constexpr double BytesPerMiB = 1048576;
+constexpr std::int64_t StartTime = 1000000;
+
+FleetSize scaled(double factor)
+{
+    FleetSize size = DesignSize;
+    size.instances = static_cast<int>(size.instances * factor);
+    size.teams = std::max(1, static_cast<int>(size.teams * factor));
+    size.pools = std::max(3, static_cast<int>(size.pools * factor));
+    return size;
+}
+
+/** Mean processor time of one record of each kind, in microseconds. */
+std::map<std::string, double> foldCosts(FleetState &state)
+{
+    constexpr int Rounds = 2000;
+    std::map<std::string, double> costs;
+    const auto time = [&](const std::string &kind, const std::function<RecordBody(int)> &body) {
+        std::vector<std::string> encoded;
+        for (int round = 0; round < Rounds; ++round) {
+            encoded.push_back(encode({newRecordId(), "bench", "bench", body(round)}));
+        }
+        const double seconds = cpuSeconds([&] {
+            for (const std::string &bytes : encoded) {
+                fold(state, {state.next, StartTime, std::move(*decode(bytes))});
+            }
+        });
+        costs[kind] = seconds / Rounds * MicrosecondsPerSecond;
+    };
+    time("claim", [](int round) {
+        return RequestsClaimed{"node-0", 1, {{claimKeyOf("team-0", "bench" + std::to_string(round)), "pool-0-1", 1}}};
+    });
+    time("key", [](int round) {
+        return KeyGranted{"bench" + std::to_string(round), "team-0", "salt", "hash"};
+    });
+    time("limit", [](int round) {
+        return LimitPartTaken{"node-0", 1, "team-0", 1, static_cast<std::uint64_t>(round) + 1};
+    });
+    time("failure and recovery", [&](int round) {
+        const std::uint64_t sequence = static_cast<std::uint64_t>(round) + state.instances.at("pool-1-0").sequence;
+        return round % 2 == 0 ? RecordBody(InstanceFailed{"pool-1-0", sequence}) : RecordBody(InstanceRecovered{"pool-1-0", sequence});
+    });
+    time("outage", [&](int round) {
+        const std::uint64_t sequence = static_cast<std::uint64_t>(round) + state.instances.at("pool-2-0").sequence;
+        return round % 2 == 0 ? RecordBody(OutageGranted{"pool-2-0", sequence, OutagePurpose::Maintenance, "node-0", 1, 1})
+                              : RecordBody(OutageEnded{"pool-2-0", sequence, false, 1});
+    });
+    return costs;
+}
+
+void benchFold(std::uint64_t seed)
+{
+    std::map<std::string, std::vector<Point>> points;
+    for (const double factor : {0.125, 0.25, 0.5, 1.0}) {
+        FleetState state = makeFleet(scaled(factor));
+        for (const auto &[kind, cost] : foldCosts(state)) {
+            points[kind].push_back({static_cast<double>(scaled(factor).instances), cost});
+        }
+    }
+    for (const auto &[kind, measured] : points) {
+        print({"fold of one record at design size, " + kind, measured.back().cost, "us", FoldTargetMicroseconds, "at most", measured.front().cost}, seed);
+    }
+}
+
+/** What a starting node reads and how long it takes until it is ready. */
+struct RecoveryCost {
+    double milliseconds = 0;
+    double snapshotBytes = 0;
+};
+
+RecoveryCost recoveryOf(const FleetSize &size)
+{
+    const FleetState state = makeFleet(size);
+    const auto log = std::make_shared<MemoryLog>(1000000);
+    for (Offset offset = 0; offset < state.next; ++offset) {
+        log->append("x", steadyNow());
+    }
+    RecoveryCost cost;
+    for (const SnapshotChunk &chunk : toChunks(state)) {
+        const std::string bytes = encode({newRecordId(), "n", "", chunk});
+        cost.snapshotBytes += static_cast<double>(bytes.size());
+        log->append(bytes, steadyNow());
+    }
+    log->expire(state.next);
+    Metrics metrics;
+    const auto replica = Replica::Builder().readingFrom(log).appendingTo(log).writingSnapshots(false).metrics(metrics).build();
+    const SteadyTime begun = steadyNow();
+    replica->start();
+    replica->waitUntilReady(begun + 60s);
+    cost.milliseconds = std::chrono::duration<double, std::milli>(steadyNow() - begun).count();
+    return cost;
+}
+
+void benchRecovery(std::uint64_t seed)
+{
+    for (const std::size_t claims : {0U, 10000U, 100000U, 400000U}) {
+        FleetSize size = DesignSize;
+        size.claims = claims;
+        const RecoveryCost cost = recoveryOf(size);
+        const std::string label = ", " + std::to_string(claims) + " claims";
+        print({"time to ready from the log at design size" + label, cost.milliseconds, "ms", std::nullopt, "at most", std::nullopt}, seed);
+        print({"bytes read" + label, cost.snapshotBytes, "bytes", std::nullopt, "at most", std::nullopt}, seed);
+    }
+}
+
+constexpr double OutageMinutes = 10;
+
+/** Minutes to maintain every instance once on a virtual clock, all outages equally long. */
+double rolloutMinutes(FleetState state, const WavePolicy &policy)
+{
+    std::int64_t now = StartTime + 1;
+    foldNext(state, WaveStarted{0}, now);
+    double minutes = 0;
+    while (waveProgress(state).left + waveProgress(state).out > 0) {
+        const std::vector<WaveDecision> decisions = decideWave(state, policy);
+        if (decisions.empty()) {
+            return -1;
+        }
+        for (const WaveDecision &decision : decisions) {
+            foldNext(state, OutageGranted{decision.instance, decision.sequence, OutagePurpose::Maintenance, "node-0", 1, 1}, now);
+        }
+        minutes += OutageMinutes;
+        now += 1;
+        for (const WaveDecision &decision : decisions) {
+            foldNext(state, OutageEnded{decision.instance, decision.sequence + 1, true, now}, now);
+        }
+    }
+    return minutes;
+}
+
+/** No plan within the budgets is faster than the pool that needs the most rounds. */
+double leastMinutes(const FleetState &state)
+{
+    std::map<std::string, int> sizes;
+    for (const auto &[name, instance] : state.instances) {
+        sizes[instance.pool] += 1;
+    }
+    double rounds = 0;
+    for (const auto &[pool, count] : sizes) {
+        if (pool != "spare") {
+            rounds = std::max(rounds, std::ceil(static_cast<double>(count) / poolBudget(*state.parsed, pool)));
+        }
+    }
+    return rounds * OutageMinutes;
+}
+
+void benchRollout(std::uint64_t seed)
+{
+    const std::map<std::string, FleetSize> sizes{{"50 instances", {50, 6, 6, 9, 0}}, {"design size", DesignSize}};
+    for (const auto &[label, size] : sizes) {
+        const FleetState state = makeFleet(size);
+        const double least = leastMinutes(state);
+        const double baseline = rolloutMinutes(state, OneAtATimeWaves{});
+        print({"roll-out, dependencies kept apart, " + label, rolloutMinutes(state, DependencyAwareWaves{}), "min", least * 1.1, "at most", baseline}, seed);
+        print({"roll-out, budgets only, " + label, rolloutMinutes(state, BudgetOnlyWaves{}), "min", least * 1.1, "at most", baseline}, seed);
+        print({"least possible, " + label, least, "min", std::nullopt, "at most", std::nullopt}, seed);
+    }
+}
+
+double decideMilliseconds(const FleetSize &size)
+{
+    FleetState state = makeFleet(size);
+    foldNext(state, WaveStarted{0}, StartTime + 1);
+    constexpr int Rounds = 5;
+    const double seconds = cpuSeconds([&] {
+        for (int round = 0; round < Rounds; ++round) {
+            decideWave(state, DependencyAwareWaves{});
+            findWaveAlarm(state);
+        }
+    });
+    return seconds / Rounds * 1000;
+}
+
+void benchDecide(std::uint64_t seed)
+{
+    for (const double factor : {0.25, 0.5, 1.0, 2.0}) {
+        const FleetSize size = scaled(factor);
+        const std::string label = std::to_string(size.instances) + " instances";
+        print({"one round of wave decisions, " + label, decideMilliseconds(size), "ms", DecideTargetMilliseconds, "at most", std::nullopt}, seed);
+    }
+}
+
+/** The largest message of one node about its load: every team waits in every pool it uses. */
+double peerReplyBytes(int teams, int poolsPerTeam)
+{
+    Details::PeerReply reply;
+    for (int team = 0; team < teams; ++team) {
+        for (int pool = 0; pool < poolsPerTeam; ++pool) {
+            reply.load.demand["pool-" + std::to_string((team + pool) % 33)]["team-" + std::to_string(team)] = {20, 30};
+        }
+        reply.load.spare["team-" + std::to_string(team)] = 100;
+    }
+    return static_cast<double>(Details::encode(reply).size());
+}
+
+void printSlope(const std::string &what, const std::vector<Point> &points, double designSize, const std::string &unit, std::optional<double> target, std::uint64_t seed)
+{
+    const Line line = fit(points);
+    print({what + ", worked out at design size", line.at(designSize), unit, target, "at most", std::nullopt}, seed);
+    print({what + ", slope", line.slope, unit + " each", std::nullopt, "at most", std::nullopt}, seed);
+    print({what + ", largest distance from the line", line.error * 100, "%", std::nullopt, "at most", std::nullopt}, seed);
+}
+
+void benchSlopes(std::uint64_t seed)
+{
+    std::vector<Point> stateBytes;
+    std::vector<Point> snapshotBytes;
+    std::vector<Point> decide;
+    for (const double factor : {0.125, 0.25, 0.5, 1.0}) {
+        const FleetSize size = scaled(factor);
+        const double before = heapBytes();
+        const FleetState state = makeFleet(size);
+        stateBytes.push_back({static_cast<double>(size.instances), (heapBytes() - before) / BytesPerMiB});
+        snapshotBytes.push_back({static_cast<double>(size.instances), static_cast<double>(serialize(state).size()) / BytesPerMiB});
+        decide.push_back({static_cast<double>(size.instances), decideMilliseconds(size)});
+    }
+    printSlope("state in memory by instances", stateBytes, DesignSize.instances, "MiB", MemoryTargetMiB, seed);
+    printSlope("snapshot by instances", snapshotBytes, DesignSize.instances, "MiB", std::nullopt, seed);
+    printSlope("wave decisions by instances", decide, DesignSize.instances, "ms", DecideTargetMilliseconds, seed);
+    std::vector<Point> claimBytes;
+    for (const std::size_t claims : {50000U, 100000U, 200000U, 400000U}) {
+        FleetSize size = scaled(0.125);
+        size.claims = claims;
+        const double before = heapBytes();
+        const FleetState state = makeFleet(size);
+        claimBytes.push_back({static_cast<double>(claims), (heapBytes() - before) / BytesPerMiB});
+    }
+    printSlope("state in memory by claims (1000000 kept at most)", claimBytes, 1000000, "MiB", MemoryTargetMiB, seed);
+    std::vector<Point> messageBytes;
+    for (const int teams : {11, 22, 43, 86}) {
+        messageBytes.push_back({static_cast<double>(teams), peerReplyBytes(teams, 4)});
+    }
+    printSlope("peer message by teams, each in 4 pools", messageBytes, DesignSize.teams, "bytes", std::nullopt, seed);
+}
+
+using Bench = void (*)(std::uint64_t seed);
+
+const std::map<std::string, Bench> &benches()
+{
+    static const std::map<std::string, Bench> Benches{
+        {"fold", &benchFold}, {"recovery", &benchRecovery}, {"rollout", &benchRollout}, {"decide", &benchDecide}, {"slopes", &benchSlopes}};
+    return Benches;
+}
+
+}
+
+int main(int argc, char **argv)
+{
+    const std::string name = argc > 1 ? argv[1] : "";
+    const std::string seedText = argc > 2 ? argv[2] : "1";
+    std::uint64_t seed = 1;
+    std::from_chars(seedText.data(), seedText.data() + seedText.size(), seed);
+    const auto bench = benches().find(name);
+    if (bench == benches().end()) {
+        std::cerr << "usage: cornelquay-bench fold|recovery|rollout|decide|slopes [SEED]\n";
+        return 2;
+    }
+    bench->second(seed);
+    return 0;
+}
--- /dev/null
+++ b/scripts/bench/recovery.sh
@@ -0,0 +1,2 @@
+# time to ready and bytes read from the log alone, as the state grows
+"$BUILD/cornelquay/cornelquay-bench" recovery "$SEED"
