Keep the count of instances out in the state; let both sides of a dependency be maintained

Change: the state keeps the count of each pool, checked against a recount by the property test; pools with neighbours stay one short of the edge while both have work.

--- a/cornelquay/benchmark/main.cpp
+++ b/cornelquay/benchmark/main.cpp
@@ -217,7 +217,8 @@
     return static_cast<double>(Details::encode(reply).size());
 }
 
-void printSlope(const std::string &what, const std::vector<Point> &points, double designSize, const std::string &unit, std::optional<double> target, std::uint64_t seed)
+void printSlope(
+    const std::string &what, const std::vector<Point> &points, double designSize, const std::string &unit, std::optional<double> target, std::uint64_t seed)
 {
     const Line line = fit(points);
     print({what + ", worked out at design size", line.at(designSize), unit, target, "at most", std::nullopt}, seed);
--- a/cornelquay/benchmark/synthetic.cpp
+++ b/cornelquay/benchmark/synthetic.cpp
@@ -22,7 +22,8 @@
 {
     const int servicePools = size.pools - 1;
     const int perPool = std::max(2, size.instances / size.pools);
-    std::string text = "cornelquay: 1\nregions:\n  - {name: r0, zones: [z0, z1, z2]}\n  - {name: r1, zones: [z3, z4]}\n  - {name: r2, zones: [z5, z6]}\npools:\n";
+    std::string text
+        = "cornelquay: 1\nregions:\n  - {name: r0, zones: [z0, z1, z2]}\n  - {name: r1, zones: [z3, z4]}\n  - {name: r2, zones: [z5, z6]}\npools:\n";
     std::string services = "services:\n";
     for (int pool = 0; pool < servicePools; ++pool) {
         text += "  - {name: " + poolName(pool) + "}\n";
--- a/cornelquay/src/certificate.cpp
+++ b/cornelquay/src/certificate.cpp
@@ -24,7 +24,8 @@
 std::int64_t changeOf(const std::string &path)
 {
     constexpr std::int64_t NanosecondsPerSecond = 1000000000;
-    struct stat status {};
+    struct stat status {
+    };
     if (stat(path.c_str(), &status) != 0) {
         return 0;
     }
--- a/cornelquay/src/node.cpp
+++ b/cornelquay/src/node.cpp
@@ -278,7 +278,8 @@
 {
     std::unique_ptr<Node> node(new Node(std::move(m_settings), std::move(m_onRemoved)));
     if (!node->m_impl->callers.isBound()) {
-        return tl::make_unexpected("the callers' address " + toText(node->m_impl->settings.callers.address) + " cannot be bound or its certificate not be used");
+        return tl::make_unexpected("the callers' address " + toText(node->m_impl->settings.callers.address)
+                                   + " cannot be bound or its certificate not be used");
     }
     if (!node->m_impl->operators.isBound()) {
         return tl::make_unexpected("the operators' address " + toText(node->m_impl->settings.operators.address) + " cannot be bound");
--- a/cornelquay/src/operatorserver.cpp
+++ b/cornelquay/src/operatorserver.cpp
@@ -247,12 +247,12 @@
                     proposeAndAnswer(KeyWithdrawn{keyId}, who, textOf(body, "reason"), {{"key", keyId}}, response);
                 }));
     server.Post("/v1/maintenance/start", command([this](const std::string &who, const Json &body, const httplib::Request &, httplib::Response &response) {
-        std::int64_t after = 0;
-        services.replica->query([&](const FleetState &state) {
-            after = state.waveStartedAt;
-        });
-        proposeAndAnswer(WaveStarted{after}, who, textOf(body, "reason"), Json::object(), response);
-    }));
+                    std::int64_t after = 0;
+                    services.replica->query([&](const FleetState &state) {
+                        after = state.waveStartedAt;
+                    });
+                    proposeAndAnswer(WaveStarted{after}, who, textOf(body, "reason"), Json::object(), response);
+                }));
     server.Post("/v1/maintenance/skip/([A-Za-z0-9._-]+)",
                 command([this](const std::string &who, const Json &body, const httplib::Request &request, httplib::Response &response) {
                     const std::string instance = request.matches[1];
--- a/libs/admission/include/admission/fairallocation.h
+++ b/libs/admission/include/admission/fairallocation.h
@@ -31,8 +31,7 @@
  * Divides @p capacity by weighted max-min fairness: each gets at most its demand, and what one
  * leaves goes to the others by their weights. Pure.
  */
-std::map<std::string, double>
-weightedMaxMin(double capacity, const std::map<std::string, double> &demands, const std::map<std::string, double> &weights);
+std::map<std::string, double> weightedMaxMin(double capacity, const std::map<std::string, double> &demands, const std::map<std::string, double> &weights);
 
 /**
  * How many tasks of each team @p node may run at once in a full pool. Empty if the pool is not
--- a/libs/admission/src/fairallocation.cpp
+++ b/libs/admission/src/fairallocation.cpp
@@ -41,8 +41,7 @@
 
 }
 
-std::map<std::string, double>
-weightedMaxMin(double capacity, const std::map<std::string, double> &demands, const std::map<std::string, double> &weights)
+std::map<std::string, double> weightedMaxMin(double capacity, const std::map<std::string, double> &demands, const std::map<std::string, double> &weights)
 {
     std::map<std::string, double> result;
     std::map<std::string, double> open = demands;
@@ -74,8 +73,7 @@
     return result;
 }
 
-std::map<std::string, std::int64_t>
-fairParts(const PoolDemand &pool, const std::map<std::string, double> &shares, const std::string &node, std::uint64_t round)
+std::map<std::string, std::int64_t> fairParts(const PoolDemand &pool, const std::map<std::string, double> &shares, const std::string &node, std::uint64_t round)
 {
     std::map<std::string, std::int64_t> parts;
     const std::map<std::string, double> demand = demandByTeam(pool);
--- a/libs/capacity/src/wave.cpp
+++ b/libs/capacity/src/wave.cpp
@@ -16,11 +16,6 @@
 
 using NamedInstance = std::pair<const std::string, InstanceEntry>;
 
-bool isOut(const InstanceEntry &instance)
-{
-    return instance.state == InstanceState::PlannedOutage || instance.state == InstanceState::Failed;
-}
-
 bool isDue(const FleetState &state, const InstanceEntry &instance)
 {
     return instance.maintainedAt < state.waveStartedAt;
@@ -100,7 +95,15 @@
         if (pool.out >= effectiveBudget(pool)) {
             return false;
         }
-        const bool reachesEdge = pool.out + 1 >= effectiveBudget(pool);
+        const int budget = effectiveBudget(pool);
+        const bool reachesEdge = pool.out + 1 >= budget;
+        const bool neighbourHasWork = std::any_of(pool.neighbours.begin(), pool.neighbours.end(), [&](const std::string &name) {
+            return !pools.at(name).candidates.empty();
+        });
+        if (reachesEdge && budget > 1 && neighbourHasWork) {
+            // One short of the edge, both sides of a dependency go on at the same time.
+            return false;
+        }
         return std::none_of(pool.neighbours.begin(), pool.neighbours.end(), [&](const std::string &name) {
             const PoolWave &neighbour = pools.at(name);
             const bool neighbourAtEdge = neighbour.out > 0 && neighbour.out >= effectiveBudget(neighbour);
--- a/libs/capacity/tests/wavetest.cpp
+++ b/libs/capacity/tests/wavetest.cpp
@@ -67,13 +67,43 @@
     };
     const WaveCase cases[] = {
         {"nothing special", [](FleetState &) {}, 2},
-        {"one failed instance counts", [](FleetState &state) { state.instances["c5"].state = InstanceState::Failed; }, 1},
-        {"two failed instances hold the pool", [](FleetState &state) { state.instances["c4"].state = state.instances["c5"].state = InstanceState::Failed; }, 0},
-        {"one is out already", [](FleetState &state) { state.instances["c0"].state = InstanceState::PlannedOutage; }, 1},
-        {"an arriving instance is not taken", [](FleetState &state) { state.instances["c0"].state = InstanceState::Arriving; }, 2},
-        {"paused", [](FleetState &state) { state.maintenancePaused = true; }, 0},
-        {"no wave", [](FleetState &state) { state.waveStartedAt = 0; }, 0},
-        {"all done", [](FleetState &state) { for (auto &[name, instance] : state.instances) { instance.maintainedAt = WaveStart; } }, 0},
+        {"one failed instance counts",
+         [](FleetState &state) {
+             state.instances["c5"].state = InstanceState::Failed;
+         },
+         1},
+        {"two failed instances hold the pool",
+         [](FleetState &state) {
+             state.instances["c4"].state = state.instances["c5"].state = InstanceState::Failed;
+         },
+         0},
+        {"one is out already",
+         [](FleetState &state) {
+             state.instances["c0"].state = InstanceState::PlannedOutage;
+         },
+         1},
+        {"an arriving instance is not taken",
+         [](FleetState &state) {
+             state.instances["c0"].state = InstanceState::Arriving;
+         },
+         2},
+        {"paused",
+         [](FleetState &state) {
+             state.maintenancePaused = true;
+         },
+         0},
+        {"no wave",
+         [](FleetState &state) {
+             state.waveStartedAt = 0;
+         },
+         0},
+        {"all done",
+         [](FleetState &state) {
+             for (auto &[name, instance] : state.instances) {
+                 instance.maintainedAt = WaveStart;
+             }
+         },
+         0},
     };
     for (const WaveCase &entry : cases) {
         FleetState state = makeState(6);
--- a/libs/fleet/include/fleet/fleetstate.h
+++ b/libs/fleet/include/fleet/fleetstate.h
@@ -42,6 +42,8 @@
     std::map<std::string, MemberEntry> members;
     std::vector<QuarantinedPart> quarantine;
     std::map<std::string, InstanceEntry> instances;
+    /** Instances of each pool that are out, planned or not; derived from instances. */
+    std::map<std::string, int> outByPool;
     bool maintenancePaused = false;
     /** Log time at which the newest wave began; 0 if there was none. */
     std::int64_t waveStartedAt = 0;
@@ -68,6 +70,9 @@
 /** The part of @p team's limit that the present incarnation @p node holds. */
 std::int64_t heldLimit(const FleetState &state, const Incarnation &node, const std::string &team);
 
+/** Whether @p instance counts against its pool's availability budget. */
+bool isOut(const InstanceEntry &instance);
+
 /** Instances of @p pool that are out, planned or not. */
 int instancesOut(const FleetState &state, const std::string &pool);
 
--- a/libs/fleet/src/fleetstate.cpp
+++ b/libs/fleet/src/fleetstate.cpp
@@ -45,16 +45,15 @@
     return part == member.limitParts.end() ? 0 : part->second;
 }
 
+bool isOut(const InstanceEntry &instance)
+{
+    return instance.state == InstanceState::PlannedOutage || instance.state == InstanceState::Failed;
+}
+
 int instancesOut(const FleetState &state, const std::string &pool)
 {
-    int out = 0;
-    for (const auto &[name, instance] : state.instances) {
-        const bool isOut = instance.state == InstanceState::PlannedOutage || instance.state == InstanceState::Failed;
-        if (instance.pool == pool && isOut) {
-            ++out;
-        }
-    }
-    return out;
+    const auto found = state.outByPool.find(pool);
+    return found == state.outByPool.end() ? 0 : found->second;
 }
 
 bool isPresent(const FleetState &state, const Incarnation &node)
--- a/libs/fleet/src/instancefold.cpp
+++ b/libs/fleet/src/instancefold.cpp
@@ -12,6 +12,16 @@
     return unchanged ? &found->second : nullptr;
 }
 
+/** Changes where an instance is and whether it serves, and keeps the pool's count in step. */
+void place(FleetState &state, InstanceEntry &instance, const std::string &pool, InstanceState next)
+{
+    state.outByPool[instance.pool] -= isOut(instance) ? 1 : 0;
+    instance.pool = pool;
+    instance.state = next;
+    state.outByPool[instance.pool] += isOut(instance) ? 1 : 0;
+    instance.sequence += 1;
+}
+
 Verdict changedMeanwhile(const FleetState &state, const std::string &name)
 {
     const auto found = state.instances.find(name);
@@ -60,6 +70,7 @@
     if (find(state, body.instance, body.sequence) == nullptr) {
         return changedMeanwhile(state, body.instance);
     }
+    place(state, state.instances.at(body.instance), {}, InstanceState::InService);
     state.instances.erase(body.instance);
     return accepted();
 }
@@ -83,13 +94,11 @@
     if (!fromSpare && !out) {
         return wrongState(*instance);
     }
-    instance->pool = body.toPool;
-    instance->state = InstanceState::Arriving;
-    instance->sequence += 1;
+    place(state, *instance, body.toPool, InstanceState::Arriving);
     return accepted();
 }
 
-Verdict apply(FleetState &state, const OutageGranted &body, const Place &place)
+Verdict apply(FleetState &state, const OutageGranted &body, const Place &where)
 {
     InstanceEntry *instance = find(state, body.instance, body.sequence);
     if (instance == nullptr) {
@@ -108,13 +117,12 @@
     if (instancesOut(state, instance->pool) >= budget) {
         return refused("pool '" + instance->pool + "' has " + std::to_string(budget) + " instances out, its whole budget");
     }
-    instance->state = InstanceState::PlannedOutage;
+    place(state, *instance, instance->pool, InstanceState::PlannedOutage);
     instance->purpose = body.purpose;
     instance->holder = body.node;
     instance->holderIncarnation = body.incarnation;
-    instance->grantedAt = place.offset;
+    instance->grantedAt = where.offset;
     instance->beginBefore = body.beginBefore;
-    instance->sequence += 1;
     return accepted();
 }
 
@@ -127,8 +135,7 @@
     if (instance->state != InstanceState::PlannedOutage && instance->state != InstanceState::Arriving) {
         return wrongState(*instance);
     }
-    instance->state = InstanceState::InService;
-    instance->sequence += 1;
+    place(state, *instance, instance->pool, InstanceState::InService);
     if (body.maintained) {
         instance->maintainedAt = body.endedAt;
     }
@@ -144,8 +151,7 @@
     if (instance->state != InstanceState::InService && instance->state != InstanceState::Arriving) {
         return wrongState(*instance);
     }
-    instance->state = InstanceState::Failed;
-    instance->sequence += 1;
+    place(state, *instance, instance->pool, InstanceState::Failed);
     return accepted();
 }
 
@@ -158,8 +164,7 @@
     if (instance->state != InstanceState::Failed) {
         return wrongState(*instance);
     }
-    instance->state = InstanceState::InService;
-    instance->sequence += 1;
+    place(state, *instance, instance->pool, InstanceState::InService);
     return accepted();
 }
 
--- a/libs/fleet/src/snapshot.cpp
+++ b/libs/fleet/src/snapshot.cpp
@@ -42,7 +42,8 @@
 
     auto fields()
     {
-        return std::tie(version, next, logTime, configuration, keys, members, quarantine, instances, maintenancePaused, waveStartedAt, claims, instanceNames, audit);
+        return std::tie(
+            version, next, logTime, configuration, keys, members, quarantine, instances, maintenancePaused, waveStartedAt, claims, instanceNames, audit);
     }
 };
 
@@ -100,6 +101,9 @@
     state.members = std::move(stored.members);
     state.quarantine = std::move(stored.quarantine);
     state.instances = std::move(stored.instances);
+    for (const auto &[name, instance] : state.instances) {
+        state.outByPool[instance.pool] += isOut(instance) ? 1 : 0;
+    }
     state.maintenancePaused = stored.maintenancePaused;
     state.waveStartedAt = stored.waveStartedAt;
     state.instanceNames = std::move(stored.instanceNames);
--- a/libs/fleet/tests/propertytest.cpp
+++ b/libs/fleet/tests/propertytest.cpp
@@ -159,6 +159,13 @@
             RC_ASSERT(unassignedLimit(state, team) >= 0);
         }
     }
+    std::map<std::string, int> counted;
+    for (const auto &[name, instance] : state.instances) {
+        counted[instance.pool] += isOut(instance) ? 1 : 0;
+    }
+    for (const std::string &pool : Pools) {
+        RC_ASSERT(instancesOut(state, pool) == counted[pool]);
+    }
     for (const auto &[instance, pool] : promises.poolOf) {
         RC_ASSERT(state.instances.at(instance).pool == pool);
     }
--- a/libs/operatorclient/src/commandline.cpp
+++ b/libs/operatorclient/src/commandline.cpp
@@ -192,10 +192,30 @@
           [](const RawOptions &, const Arguments &) {
               return query("/v1/maintenance");
           }}},
-        {"maintenance start", {0, 0, [](const RawOptions &raw, const Arguments &) { return maintenance(MaintenanceAction::Start, "", raw); }}},
-        {"maintenance pause", {0, 0, [](const RawOptions &raw, const Arguments &) { return maintenance(MaintenanceAction::Pause, "", raw); }}},
-        {"maintenance resume", {0, 0, [](const RawOptions &raw, const Arguments &) { return maintenance(MaintenanceAction::Resume, "", raw); }}},
-        {"maintenance skip", {1, 1, [](const RawOptions &raw, const Arguments &words) { return maintenance(MaintenanceAction::Skip, words[0], raw); }}},
+        {"maintenance start",
+         {0,
+          0,
+          [](const RawOptions &raw, const Arguments &) {
+              return maintenance(MaintenanceAction::Start, "", raw);
+          }}},
+        {"maintenance pause",
+         {0,
+          0,
+          [](const RawOptions &raw, const Arguments &) {
+              return maintenance(MaintenanceAction::Pause, "", raw);
+          }}},
+        {"maintenance resume",
+         {0,
+          0,
+          [](const RawOptions &raw, const Arguments &) {
+              return maintenance(MaintenanceAction::Resume, "", raw);
+          }}},
+        {"maintenance skip",
+         {1,
+          1,
+          [](const RawOptions &raw, const Arguments &words) {
+              return maintenance(MaintenanceAction::Skip, words[0], raw);
+          }}},
         {"config show",
          {0,
           0,
