Pace the loads that nodes tell each other by their size

Cause: worked out at 86 teams a load is 4838 bytes; once a second to and from 8 nodes that is 77 KB/s, against 9 KB/s for all control. Change: a load goes out as often as its size allows within 5 KB/s; positions and loans go on.

--- a/cornelquay/benchmark/main.cpp
+++ b/cornelquay/benchmark/main.cpp
@@ -208,11 +208,12 @@
 double peerReplyBytes(int teams, int poolsPerTeam)
 {
     Details::PeerReply reply;
+    reply.load.resize(1);
     for (int team = 0; team < teams; ++team) {
         for (int pool = 0; pool < poolsPerTeam; ++pool) {
-            reply.load.demand["pool-" + std::to_string((team + pool) % 33)]["team-" + std::to_string(team)] = {20, 30};
+            reply.load.front().demand["pool-" + std::to_string((team + pool) % 33)]["team-" + std::to_string(team)] = {20, 30};
         }
-        reply.load.spare["team-" + std::to_string(team)] = 100;
+        reply.load.front().spare["team-" + std::to_string(team)] = 100;
     }
     return static_cast<double>(Details::encode(reply).size());
 }
--- a/cornelquay/src/details/peerkeeper.h
+++ b/cornelquay/src/details/peerkeeper.h
@@ -72,6 +72,8 @@
         SteadyTime heardAt;
         SteadyTime lastSentAt;
         SteadyTime dueAt;
+        /** When this node's load is next told to the other. */
+        SteadyTime loadDueAt;
         bool underWay = false;
         std::uint64_t sequence = 0;
         std::map<std::string, std::int64_t> keptAtSend;
@@ -90,6 +92,7 @@
     std::vector<LoanGrant> lend(const Incarnation &from, const PeerRequest &request);
     PeerPosition position(SteadyTime now) const;
     PeerLoad load() const;
+    void addLoadIfDue(const Incarnation &from, PeerReply &reply);
     void applyLoans(SteadyTime now);
     void applyParts(SteadyTime now);
     void addDemand(const std::string &pool, SteadyTime now, PoolDemand &demand, std::map<std::string, std::int64_t> &remoteRunning) const;
--- a/cornelquay/src/details/peermessages.h
+++ b/cornelquay/src/details/peermessages.h
@@ -77,7 +77,8 @@
 struct PeerReply {
     std::uint64_t sequence = 0;
     PeerPosition position;
-    PeerLoad load;
+    /** One load, or none if it is not its turn: loads are large and paced by their size. */
+    std::vector<PeerLoad> load;
     std::vector<LoanGrant> grants;
     /** Entries that the other node does not have yet. */
     std::vector<RelayedEntry> entries;
--- a/cornelquay/src/peerkeeper.cpp
+++ b/cornelquay/src/peerkeeper.cpp
@@ -17,6 +17,9 @@
 /** Between exchanges while work waits for a permit. */
 constexpr auto UrgentInterval = 200ms;
 constexpr auto ExchangeTimeout = 800ms;
+/** What loads may take of a node's 9 KB/s for control; positions and loans take the rest. */
+constexpr double LoadBytesPerSecond = 5000;
+constexpr auto LoadIntervalLeast = 150ms;
 /** A node heard within this time counts as reachable. */
 constexpr auto ReachableAge = 3000ms;
 /** A node not heard for this long is proposed for removal. */
@@ -291,7 +294,9 @@
 {
     peer.heardAt = sentAt;
     peer.position = reply.position;
-    peer.load = reply.load;
+    if (!reply.load.empty()) {
+        peer.load = reply.load.front();
+    }
     for (const LoanGrant &grant : reply.grants) {
         const auto kept = peer.keptAtSend.find(grant.team);
         if (kept != peer.keptAtSend.end()) {
@@ -328,15 +333,28 @@
     }
     reply.sequence = request->sequence;
     reply.grants = lend(from, *request);
-    {
-        const std::lock_guard lock(m_mutex);
-        reply.load = load();
-    }
+    addLoadIfDue(from, reply);
     reply.entries = toRelayed(m_services.replica->recentEntries(request->position.next, RelayBytesMax));
     reply.position = position(steadyNow());
     return encode(reply);
 }
 
+// A load goes out as often as its size allows within the bytes that control may take.
+void PeerKeeper::addLoadIfDue(const Incarnation &from, PeerReply &reply)
+{
+    const SteadyTime now = steadyNow();
+    const std::lock_guard lock(m_mutex);
+    const auto peer = m_peers.find(from.name);
+    if (peer == m_peers.end() || now < peer->second.loadDueAt) {
+        return;
+    }
+    reply.load.push_back(load());
+    // Each load is sent to every peer, and one as large comes from each.
+    const double bytes = 2.0 * static_cast<double>(encode(reply).size()) * static_cast<double>(m_peers.size());
+    const auto paced = std::chrono::milliseconds(static_cast<std::int64_t>(bytes / LoadBytesPerSecond * 1000));
+    peer->second.loadDueAt = now + std::max<std::chrono::milliseconds>(LoadIntervalLeast, paced);
+}
+
 std::vector<LoanGrant> PeerKeeper::lend(const Incarnation &from, const PeerRequest &request)
 {
     std::vector<LoanGrant> grants;
