--- a/cornelquay/src/callerserver.cpp
+++ b/cornelquay/src/callerserver.cpp
@@ -73,9 +73,6 @@
         if (m_fault) {
             return tl::make_unexpected(*m_fault);
         }
-        if (steadyNow() >= order.deadline) {
-            return tl::make_unexpected(NotRun{RefusalReason::DeadlinePassed, "the deadline has passed already", 0ms});
-        }
         return order;
     }
 
--- a/cornelquay/src/details/dispatcher.h
+++ b/cornelquay/src/details/dispatcher.h
@@ -56,6 +56,7 @@
     };
 
     tl::expected<Target, NotRun> target(const WorkOrder &order) const;
+    bool isClaimed(const ClaimKey &key) const;
     Outcome runRepeatable(const WorkOrder &order, const Target &target);
     Outcome runOnce(const WorkOrder &order, const Target &target);
     std::optional<Outcome> attemptOnce(const WorkOrder &order, const ClaimKey &key, const AdmissionTicket &ticket);
--- a/cornelquay/src/dispatcher.cpp
+++ b/cornelquay/src/dispatcher.cpp
@@ -124,7 +124,24 @@
         return found.error();
     }
     m_retries.noteRequest(order.service);
-    return order.idempotent ? runRepeatable(order, *found) : runOnce(order, *found);
+    if (order.idempotent) {
+        return runRepeatable(order, *found);
+    }
+    Outcome outcome = runOnce(order, *found);
+    if (std::holds_alternative<NotRun>(outcome) && isClaimed(claimKeyOf(order.team, order.requestId))) {
+        // This submission did not run, but the same request id was bound by another one.
+        return OutcomeUnknown{"another submission of this request id may have run"};
+    }
+    return outcome;
+}
+
+bool Dispatcher::isClaimed(const ClaimKey &key) const
+{
+    bool claimed = false;
+    m_replica.query([&](const FleetState &state) {
+        claimed = claimOf(state, key).has_value();
+    });
+    return claimed;
 }
 
 tl::expected<Dispatcher::Target, NotRun> Dispatcher::target(const WorkOrder &order) const
@@ -233,11 +250,7 @@
 {
     const ClaimKey key = claimKeyOf(order.team, order.requestId);
     for (int attempt = 0; attempt < AttemptsMax; ++attempt) {
-        bool taken = false;
-        m_replica.query([&](const FleetState &state) {
-            taken = claimOf(state, key).has_value();
-        });
-        if (taken) {
+        if (isClaimed(key)) {
             bool startAgain = false;
             Outcome outcome = join(order, key, startAgain);
             if (!startAgain) {
