--- a/libs/upstream/src/taskexchange.cpp
+++ b/libs/upstream/src/taskexchange.cpp
@@ -151,7 +151,7 @@
     {
         int failures = 0;
         while (steadyNow() < m_deadline - m_limits.reserve) {
-            const CallResult result = get();
+            const CallResult result = get(Reuse::Never);
             if (const auto *reply = std::get_if<Reply>(&result)) {
                 failures = 0;
                 if (reply->state == TaskState::NotStarted) {
@@ -176,7 +176,8 @@
     // Waits for a task that some other sender is to start; never ends it.
     TaskOutcome attach()
     {
-        const CallResult result = get();
+        // Nothing is known against the open connections; a silent one times out and is closed.
+        const CallResult result = get(Reuse::Allowed);
         if (const auto *reply = std::get_if<Reply>(&result)) {
             if (reply->state == TaskState::Running) {
                 return follow();
@@ -226,11 +227,11 @@
         return settle(std::move(client), answer);
     }
 
-    CallResult get()
+    CallResult get(Reuse reuse)
     {
         const SteadyTime now = steadyNow();
         const SteadyTime pollUntil = std::min(m_deadline - m_limits.reserve, now + m_limits.poll);
-        HttpClients::Lease client = m_clients.take(std::min(m_deadline, pollUntil + m_limits.silence), Reuse::Never);
+        HttpClients::Lease client = m_clients.take(std::min(m_deadline, pollUntil + m_limits.silence), reuse);
         if (!client) {
             return CallFailure::NotSent;
         }
