--- a/libs/load/src/runner.cpp
+++ b/libs/load/src/runner.cpp
@@ -164,7 +164,7 @@
                 const httplib::Result result = clients[index]->Get("/ready");
                 m_ready[index] = result && result->status == StatusOk;
             }
-            std::this_thread::sleep_for(ReadinessInterval);
+            std::this_thread::sleep_until(steadyNow() + ReadinessInterval);
         }
     }
 
