--- a/cornelquay/benchmark/main.cpp
+++ b/cornelquay/benchmark/main.cpp
@@ -41,6 +41,7 @@
     std::map<std::string, double> costs;
     const auto time = [&](const std::string &kind, const std::function<RecordBody(int)> &body) {
         std::vector<std::string> encoded;
+        encoded.reserve(Rounds);
         for (int round = 0; round < Rounds; ++round) {
             encoded.push_back(encode({newRecordId(), "bench", "bench", body(round)}));
         }
--- a/cornelquay/src/peerloans.cpp
+++ b/cornelquay/src/peerloans.cpp
@@ -38,8 +38,8 @@
             returnLoan(key, unused);
         }
         const auto spare = peer.load.spare.find(team);
-        const bool short_ = load.waiting > 0 && available <= 0 && spare != peer.load.spare.end();
-        const std::int64_t wanted = short_ ? std::min<std::int64_t>(static_cast<std::int64_t>(load.waiting), spare->second) : 0;
+        const bool isShort = load.waiting > 0 && available <= 0 && spare != peer.load.spare.end();
+        const std::int64_t wanted = isShort ? std::min<std::int64_t>(static_cast<std::int64_t>(load.waiting), spare->second) : 0;
         const std::int64_t kept = m_borrowed.kept(key);
         if (kept > 0 || wanted > 0 || keptBefore > 0) {
             asks.push_back({team, kept, wanted});
--- a/libs/peering/src/http2session.cpp
+++ b/libs/peering/src/http2session.cpp
@@ -1,5 +1,6 @@
 #include "details/http2session.h"
 
+#include <algorithm>
 #include <cstring>
 
 namespace Cornelquay::Details {
@@ -216,7 +217,7 @@
     }
     Stream &stream = found->second;
     const std::size_t count = std::min(length, stream.outgoing.size() - stream.sent);
-    std::memcpy(buffer, stream.outgoing.data() + stream.sent, count);
+    std::copy_n(stream.outgoing.data() + stream.sent, count, buffer);
     stream.sent += count;
     if (stream.sent == stream.outgoing.size()) {
         *flags |= NGHTTP2_DATA_FLAG_EOF;
