--- a/libs/operatorclient/src/rendering.cpp
+++ b/libs/operatorclient/src/rendering.cpp
@@ -74,6 +74,7 @@
     }
     for (const Json &row : rows) {
         std::vector<std::string> line;
+        line.reserve(columns.size());
         for (const std::string &column : columns) {
             line.push_back(row.contains(column) ? cell(column, row[column]) : "-");
         }
