Let one type stand for a log entry everywhere; drop two functions nobody calls

Cause: the log's codec and the nodes' messages each had a copy of LogEntry with the same three fields, and copied entries to and fro; Admission::poke and Upstreams::hasInstances had no caller. Change: LogEntry and LogRead list their fields; the copies and the functions are gone. The bytes on the wire are the same.

--- a/cornelquay/src/details/peermessages.h
+++ b/cornelquay/src/details/peermessages.h
@@ -61,18 +61,6 @@
     }
 };
 
-/** A log entry passed on between nodes. */
-struct RelayedEntry {
-    Offset offset = 0;
-    std::int64_t appendedAt = 0;
-    std::string bytes;
-
-    auto fields()
-    {
-        return std::tie(offset, appendedAt, bytes);
-    }
-};
-
 /** The answer to a PeerRequest. */
 struct PeerReply {
     std::uint64_t sequence = 0;
@@ -81,7 +69,7 @@
     std::vector<PeerLoad> load;
     std::vector<LoanGrant> grants;
     /** Entries that the other node does not have yet. */
-    std::vector<RelayedEntry> entries;
+    std::vector<LogEntry> entries;
 
     auto fields()
     {
--- a/cornelquay/src/peerkeeper.cpp
+++ b/cornelquay/src/peerkeeper.cpp
@@ -26,26 +26,6 @@
     return time == SteadyTime() ? -1 : std::chrono::duration_cast<std::chrono::milliseconds>(now - time).count();
 }
 
-std::vector<RelayedEntry> toRelayed(const std::vector<LogEntry> &entries)
-{
-    std::vector<RelayedEntry> result;
-    result.reserve(entries.size());
-    for (const LogEntry &entry : entries) {
-        result.push_back({entry.offset, entry.appendedAt, entry.bytes});
-    }
-    return result;
-}
-
-std::vector<LogEntry> toLogEntries(const std::vector<RelayedEntry> &entries)
-{
-    std::vector<LogEntry> result;
-    result.reserve(entries.size());
-    for (const RelayedEntry &entry : entries) {
-        result.push_back({entry.offset, entry.appendedAt, entry.bytes});
-    }
-    return result;
-}
-
 }
 
 PeerKeeper::PeerKeeper(PeerKeeperServices services)
@@ -190,7 +170,6 @@
 void PeerKeeper::onReply(const std::string &name, std::uint64_t sequence, SteadyTime sentAt, const std::optional<std::string> &body)
 {
     const std::optional<PeerReply> reply = body ? decodePeerReply(*body) : std::nullopt;
-    std::vector<LogEntry> entries;
     {
         const std::lock_guard lock(m_mutex);
         const auto peer = m_peers.find(name);
@@ -202,10 +181,9 @@
             return;
         }
         takeIn(peer->second, *reply, sentAt);
-        entries = toLogEntries(reply->entries);
     }
     if (reply->position.viewAge >= 0) {
-        m_services.replica->relay(entries, reply->position.next, sentAt - std::chrono::milliseconds(reply->position.viewAge));
+        m_services.replica->relay(reply->entries, reply->position.next, sentAt - std::chrono::milliseconds(reply->position.viewAge));
     }
     applyLoans(steadyNow());
 }
@@ -254,7 +232,7 @@
     reply.sequence = request->sequence;
     reply.grants = lend(from, *request);
     addLoadIfDue(from, reply);
-    reply.entries = toRelayed(m_services.replica->recentEntries(request->position.next, RelayBytesMax));
+    reply.entries = m_services.replica->recentEntries(request->position.next, RelayBytesMax);
     reply.position = position(steadyNow());
     return encode(reply);
 }
--- a/libs/admission/include/admission/admission.h
+++ b/libs/admission/include/admission/admission.h
@@ -102,8 +102,6 @@
     void setPoolParts(const std::string &pool, const std::map<std::string, std::int64_t> &remoteRunning, std::map<std::string, std::int64_t> parts);
     /** Turns are given out only while @p gate is true; called under the lock, must not block. */
     void setGate(std::function<bool()> gate);
-    /** Wakes up those who wait because something may have become free. */
-    void poke();
     /** Refuses everything that waits or comes. */
     void stop();
 
--- a/libs/admission/src/admission.cpp
+++ b/libs/admission/src/admission.cpp
@@ -282,11 +282,6 @@
     m_impl->gate = std::move(gate);
 }
 
-void Admission::poke()
-{
-    changeLimits([](TeamLimits &) {});
-}
-
 void Admission::stop()
 {
     const std::lock_guard lock(m_impl->mutex);
--- a/libs/platform/include/platform/logservice.h
+++ b/libs/platform/include/platform/logservice.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -33,6 +34,11 @@
     /** The log's own time at the append, Unix milliseconds. */
     std::int64_t appendedAt = 0;
     std::string bytes;
+
+    auto fields()
+    {
+        return std::tie(offset, appendedAt, bytes);
+    }
 };
 
 /** An answer to a read. */
@@ -43,6 +49,11 @@
     Offset end = 0;
     /** Entries from the offset asked for, or from head if that is later; without gaps. */
     std::vector<LogEntry> entries;
+
+    auto fields()
+    {
+        return std::tie(head, end, entries);
+    }
 };
 
 /** What to read. */
--- a/libs/upstream/include/upstream/upstreams.h
+++ b/libs/upstream/include/upstream/upstreams.h
@@ -104,8 +104,6 @@
 
     /** The exchange with one worker for questions about a task; null if it is not known. */
     std::shared_ptr<TaskExchange> exchange(const std::string &instance, std::uint64_t incarnation) const;
-    /** Whether @p pool has any worker that accepts work. */
-    bool hasInstances(const std::string &pool) const;
     /** Workers in @p pool that accept work. */
     int instanceCount(const std::string &pool) const;
     std::vector<UpstreamStatus> status(SteadyTime now) const;
--- a/libs/upstream/src/upstreams.cpp
+++ b/libs/upstream/src/upstreams.cpp
@@ -192,11 +192,6 @@
     return found->second.exchange;
 }
 
-bool Upstreams::hasInstances(const std::string &pool) const
-{
-    return instanceCount(pool) > 0;
-}
-
 int Upstreams::instanceCount(const std::string &pool) const
 {
     const std::lock_guard lock(m_impl->mutex);
