--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -10,7 +10,12 @@
 
 # cornelquay_test(NAME USES lib...)
 # Declares the one test program of the current folder's library from tests/*.cpp.
+option(CORNELQUAY_TESTS "Build the test programs and the tools for development" ON)
+
 function(cornelquay_test NAME)
+    if(NOT CORNELQUAY_TESTS)
+        return()
+    endif()
     cmake_parse_arguments(ARG "" "" "USES" ${ARGN})
     file(GLOB SOURCES CONFIGURE_DEPENDS tests/*.cpp)
     set(MAIN ${CMAKE_CURRENT_BINARY_DIR}/testmain.cpp)
--- /dev/null
+++ b/libs/httpio/src/httpserver.cpp
@@ -0,0 +1,337 @@
+#include "httpio/httpserver.h"
+
+#include "details/messageparser.h"
+#include "details/serialization.h"
+#include "timing/instant.h"
+
+#include <asio.hpp>
+
+#include <array>
+#include <unordered_set>
+
+namespace Cornelquay {
+
+namespace {
+
+using Details::MessageParser;
+using Details::ParseState;
+
+constexpr std::size_t ReadBytes = 8192;
+// How often connections that are past their time are looked for.
+constexpr std::chrono::milliseconds SweepInterval{500};
+constexpr int ListenBacklog = 1024;
+
+class Connection;
+
+}
+
+struct HttpServer::Impl : public std::enable_shared_from_this<HttpServer::Impl> {
+    Impl(asio::io_context &givenIo, HttpLimits givenLimits, Handler givenHandler)
+        : io(givenIo)
+        , limits(givenLimits)
+        , handler(std::move(givenHandler))
+        , acceptor(givenIo)
+        , sweepTimer(givenIo)
+    {
+    }
+
+    asio::io_context &io;
+    HttpLimits limits;
+    Handler handler;
+    asio::ip::tcp::acceptor acceptor;
+    asio::steady_timer sweepTimer;
+    std::unordered_set<std::shared_ptr<Connection>> connections;
+    std::size_t inFlight = 0;
+    bool bound = false;
+    bool draining = false;
+    bool closed = false;
+
+    void bind(const Address &address);
+    void accept();
+    void sweep();
+};
+
+namespace {
+
+/** One client's connection. Answers requests one at a time, in their order. */
+class Connection : public std::enable_shared_from_this<Connection>
+{
+public:
+    Connection(std::shared_ptr<HttpServer::Impl> server, asio::ip::tcp::socket socket)
+        : m_server(std::move(server))
+        , m_socket(std::move(socket))
+        , m_parser(HTTP_REQUEST, m_server->limits.headerBytes, m_server->limits.bodyBytes)
+        , m_activeAt(steadyNow())
+    {
+    }
+
+    void start()
+    {
+        asio::error_code ignored;
+        m_socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        read();
+    }
+
+    void close()
+    {
+        if (m_closed) {
+            return;
+        }
+        m_closed = true;
+        if (m_answering) {
+            --m_server->inFlight;
+            m_answering = false;
+        }
+        asio::error_code ignored;
+        m_socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+        m_socket.close(ignored);
+        m_server->connections.erase(shared_from_this());
+    }
+
+    bool isIdle() const
+    {
+        return !m_answering && !m_writing && m_parser.state() == ParseState::Empty;
+    }
+
+    bool isOverdue(SteadyTime now) const
+    {
+        if (m_answering || m_writing) {
+            return false;
+        }
+        const auto most = m_parser.state() == ParseState::Empty ? m_server->limits.idleTime : m_server->limits.requestTime;
+        return now - m_activeAt > most;
+    }
+
+private:
+    void read()
+    {
+        m_reading = true;
+        m_socket.async_read_some(asio::buffer(m_buffer), [self = shared_from_this()](const asio::error_code &error, std::size_t length) {
+            self->m_reading = false;
+            if (error || self->m_closed) {
+                self->close();
+                return;
+            }
+            self->m_pending.append(self->m_buffer.data(), length);
+            self->advance();
+        });
+    }
+
+    void advance()
+    {
+        if (m_answering || m_writing) {
+            // A request ahead of its predecessor's answer waits, within the bounds of one request.
+            if (m_pending.size() > m_server->limits.bodyBytes + m_server->limits.headerBytes) {
+                close();
+            } else if (!m_reading) {
+                read();
+            }
+            return;
+        }
+        if (!m_pending.empty()) {
+            if (m_parser.state() == ParseState::Empty) {
+                m_activeAt = steadyNow();
+            }
+            m_pending.erase(0, m_parser.feed(m_pending));
+        }
+        switch (m_parser.state()) {
+        case ParseState::Empty:
+        case ParseState::Reading:
+            if (!m_reading) {
+                read();
+            }
+            return;
+        case ParseState::Complete:
+            dispatch();
+            return;
+        case ParseState::HeadersTooLarge:
+            refuse(431, "the headers are larger than the limit");
+            return;
+        case ParseState::BodyTooLarge:
+            refuse(413, "the body is larger than the limit");
+            return;
+        case ParseState::Malformed:
+            refuse(400, "not an HTTP/1.1 request");
+            return;
+        }
+    }
+
+    void refuse(int status, const std::string &reason)
+    {
+        m_closeAfterAnswer = true;
+        write({status, R"({"error":")" + reason + "\"}", {}});
+    }
+
+    void dispatch()
+    {
+        m_closeAfterAnswer = !m_parser.keepsAlive();
+        HttpRequest request = m_parser.takeRequest();
+        m_answering = true;
+        ++m_server->inFlight;
+        const std::uint64_t number = ++m_requestNumber;
+        std::weak_ptr<Connection> weak = weak_from_this();
+        // The read notices a caller that leaves while its request is answered.
+        if (!m_reading) {
+            read();
+        }
+        m_server->handler(std::move(request), [weak, number](HttpResponse response) {
+            if (const auto self = weak.lock()) {
+                self->answer(number, std::move(response));
+            }
+        });
+    }
+
+    void answer(std::uint64_t number, HttpResponse response)
+    {
+        if (m_closed || !m_answering || number != m_requestNumber) {
+            return;
+        }
+        m_answering = false;
+        --m_server->inFlight;
+        write(std::move(response));
+    }
+
+    void write(HttpResponse response)
+    {
+        m_closeAfterAnswer = m_closeAfterAnswer || m_server->draining;
+        m_outgoing = Details::serialize(response, m_closeAfterAnswer);
+        m_writing = true;
+        asio::async_write(m_socket, asio::buffer(m_outgoing), [self = shared_from_this()](const asio::error_code &error, std::size_t) {
+            self->m_writing = false;
+            if (error || self->m_closed || self->m_closeAfterAnswer) {
+                self->close();
+                return;
+            }
+            self->m_activeAt = steadyNow();
+            self->m_parser.reset();
+            self->advance();
+        });
+    }
+
+    std::shared_ptr<HttpServer::Impl> m_server;
+    asio::ip::tcp::socket m_socket;
+    MessageParser m_parser;
+    std::array<char, ReadBytes> m_buffer{};
+    std::string m_pending;
+    std::string m_outgoing;
+    SteadyTime m_activeAt;
+    std::uint64_t m_requestNumber = 0;
+    bool m_reading = false;
+    bool m_answering = false;
+    bool m_writing = false;
+    bool m_closeAfterAnswer = false;
+    bool m_closed = false;
+};
+
+}
+
+void HttpServer::Impl::bind(const Address &address)
+{
+    asio::error_code error;
+    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address.host, error), address.port);
+    if (error) {
+        return;
+    }
+    acceptor.open(endpoint.protocol(), error);
+    acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
+    acceptor.bind(endpoint, error);
+    if (error) {
+        return;
+    }
+    acceptor.listen(ListenBacklog, error);
+    bound = !error;
+}
+
+void HttpServer::Impl::accept()
+{
+    acceptor.async_accept([self = shared_from_this()](const asio::error_code &error, asio::ip::tcp::socket socket) {
+        if (self->closed) {
+            return;
+        }
+        if (!error && self->connections.size() < self->limits.connections) {
+            auto connection = std::make_shared<Connection>(self, std::move(socket));
+            self->connections.insert(connection);
+            connection->start();
+        }
+        self->accept();
+    });
+}
+
+void HttpServer::Impl::sweep()
+{
+    sweepTimer.expires_after(SweepInterval);
+    sweepTimer.async_wait([self = shared_from_this()](const asio::error_code &error) {
+        if (error || self->closed) {
+            return;
+        }
+        const SteadyTime now = steadyNow();
+        std::vector<std::shared_ptr<Connection>> overdue;
+        for (const auto &connection : self->connections) {
+            if (connection->isOverdue(now) || (self->draining && connection->isIdle())) {
+                overdue.push_back(connection);
+            }
+        }
+        for (const auto &connection : overdue) {
+            connection->close();
+        }
+        self->sweep();
+    });
+}
+
+HttpServer::HttpServer(asio::io_context &io, const Address &address, HttpLimits limits, Handler handler)
+    : m_impl(std::make_shared<Impl>(io, limits, std::move(handler)))
+{
+    m_impl->bind(address);
+    if (m_impl->bound) {
+        m_impl->accept();
+        m_impl->sweep();
+    }
+}
+
+HttpServer::~HttpServer()
+{
+    close();
+}
+
+void HttpServer::setLimits(const HttpLimits &limits)
+{
+    m_impl->limits = limits;
+}
+
+void HttpServer::beginDrain()
+{
+    m_impl->draining = true;
+}
+
+void HttpServer::close()
+{
+    if (m_impl->closed) {
+        return;
+    }
+    m_impl->closed = true;
+    asio::error_code ignored;
+    m_impl->acceptor.close(ignored);
+    m_impl->sweepTimer.cancel();
+    const auto connections = m_impl->connections;
+    for (const auto &connection : connections) {
+        connection->close();
+    }
+}
+
+bool HttpServer::isBound() const
+{
+    return m_impl->bound;
+}
+
+std::uint16_t HttpServer::port() const
+{
+    asio::error_code ignored;
+    return m_impl->acceptor.local_endpoint(ignored).port();
+}
+
+std::size_t HttpServer::inFlight() const
+{
+    return m_impl->inFlight;
+}
+
+}
--- /dev/null
+++ b/libs/jobnode/include/jobnode/reign.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "jobnode/jobcall.h"
+#include "jobnode/ownershipview.h"
+#include "jobnode/ports.h"
+#include "scheduling/scheduler.h"
+#include "telemetry/metrics.h"
+
+#include <asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace Cornelquay {
+
+/** What an owner needs. */
+struct ReignContext {
+    asio::io_context &io;
+    StorePort &store;
+    WorkerPort &workers;
+    RegistryPort &registry;
+    Metrics &metrics;
+    SchedulerTimes times;
+    OwnershipTimes ownership;
+};
+
+/**
+ * One node's ownership of all jobs, from the takeover to the end.
+ *
+ * Fences its predecessors, reads the stored jobs, and then drives the scheduler: stores its batches,
+ * carries out its orders, and answers calls once what they ask for is stored. Orders leave only
+ * while the latest success in the store is fresh, so that a node that was suspended or cut off does
+ * not act after a successor may have begun. Lives on the io_context's thread.
+ *
+ * @code
+ * auto reign = std::make_shared<Reign>(context, epoch, [this](std::string reason) { ... });
+ * reign->begin(policy);
+ * reign->handle(call, [](JobAnswer answer) { ... });
+ * @endcode
+ */
+class Reign : public std::enable_shared_from_this<Reign>
+{
+public:
+    using Responder = std::function<void(JobAnswer answer)>;
+
+    /** @p onDeposed is called once, when another owner is seen. */
+    Reign(ReignContext context, std::uint64_t epoch, bool predecessorReleased, std::function<void(std::string reason)> onDeposed);
+    ~Reign();
+
+    // Commands.
+    void begin(std::shared_ptr<const FleetPolicy> policy);
+    /** Ends all activity; pending calls are answered as unknown. */
+    void end();
+    /** Stops giving orders, stores what is decided, then calls @p onSettled, at the latest after a second. */
+    void settle(std::function<void()> onSettled);
+    void setPolicy(std::shared_ptr<const FleetPolicy> policy);
+    /** The owner was heard in the store at a call sent at @p sentAt. */
+    void noteFresh(BootTime sentAt);
+    void handle(const JobCall &call, Responder respond);
+
+    // Queries.
+    bool isServing() const;
+    std::uint64_t epoch() const;
+    const Scheduler &scheduler() const;
+
+    struct Impl;
+
+private:
+    std::shared_ptr<Impl> m_impl;
+};
+
+}
--- /dev/null
+++ b/libs/jobnode/src/jobcall.cpp
@@ -0,0 +1,75 @@
+#include "jobnode/jobcall.h"
+
+#include "jobnode/ports.h"
+#include "records/packing.h"
+
+namespace Cornelquay {
+
+namespace {
+
+constexpr std::array<std::string_view, 4> CallNames = {"submit", "state", "cancel", "count-pending"};
+constexpr std::array<std::string_view, 8> AnswerNames = {"done", "state", "pending", "unknown-job", "unknown-queue", "not-run", "invalid", "unknown"};
+constexpr std::array<std::string_view, 4> FailureNames = {"refused", "unanswered", "conflict", "fenced"};
+
+}
+
+std::string_view toName(JobCallKind kind)
+{
+    return CallNames.at(static_cast<std::size_t>(kind));
+}
+
+std::string_view toName(JobAnswerKind kind)
+{
+    return AnswerNames.at(static_cast<std::size_t>(kind));
+}
+
+std::string_view toName(StoreFailure failure)
+{
+    return FailureNames.at(static_cast<std::size_t>(failure));
+}
+
+JobAnswer JobAnswer::notRun(std::string reason, std::int64_t retryAfterMs)
+{
+    JobAnswer answer;
+    answer.kind = JobAnswerKind::NotRun;
+    answer.reason = std::move(reason);
+    answer.retryAfterMs = retryAfterMs;
+    return answer;
+}
+
+JobAnswer JobAnswer::unknown(std::string reason)
+{
+    JobAnswer answer;
+    answer.kind = JobAnswerKind::Unknown;
+    answer.reason = std::move(reason);
+    return answer;
+}
+
+JobAnswer JobAnswer::of(JobAnswerKind kind)
+{
+    JobAnswer answer;
+    answer.kind = kind;
+    return answer;
+}
+
+std::string encode(const JobCall &call)
+{
+    return Packing::toBytes(call);
+}
+
+std::string encode(const JobAnswer &answer)
+{
+    return Packing::toBytes(answer);
+}
+
+std::optional<JobCall> decodeJobCall(std::string_view bytes)
+{
+    return Packing::fromBytes<JobCall>(bytes);
+}
+
+std::optional<JobAnswer> decodeJobAnswer(std::string_view bytes)
+{
+    return Packing::fromBytes<JobAnswer>(bytes);
+}
+
+}
--- /dev/null
+++ b/libs/jobs/src/job.cpp
@@ -0,0 +1,293 @@
+#include "jobs/job.h"
+
+#include <algorithm>
+#include <array>
+#include <stdexcept>
+
+namespace Cornelquay {
+
+namespace {
+
+constexpr std::array<std::string_view, 5> StateNames = {"queued", "running", "completed", "failed", "cancelled"};
+constexpr std::array<std::string_view, 6> EndNames = {"done", "failed", "stopped", "lapsed", "broken", "alone"};
+
+bool isFinished(const std::vector<Task> &tasks)
+{
+    return std::all_of(tasks.begin(), tasks.end(), [](const Task &task) {
+        return task.phase == TaskPhase::Finished;
+    });
+}
+
+bool isFinished(const Occurrence &occurrence)
+{
+    return std::all_of(occurrence.steps.begin(), occurrence.steps.end(), [](const std::vector<Task> &tasks) {
+        return isFinished(tasks);
+    });
+}
+
+}
+
+std::string_view toName(JobState state)
+{
+    return StateNames.at(static_cast<std::size_t>(state));
+}
+
+std::string_view toName(RunEnd end)
+{
+    return EndNames.at(static_cast<std::size_t>(end));
+}
+
+Job::Job(JobRecord record)
+    : m_record(std::move(record))
+{
+}
+
+bool Job::openOccurrence()
+{
+    const std::uint32_t most = std::max<std::uint32_t>(1, m_record.spec.recurrence.count);
+    if (!isOpen() || m_record.nextOccurrence >= most) {
+        return false;
+    }
+    Occurrence occurrence;
+    occurrence.number = m_record.nextOccurrence++;
+    for (const StepSpec &step : m_record.spec.steps) {
+        occurrence.steps.emplace_back(step.count);
+    }
+    m_record.occurrences.push_back(std::move(occurrence));
+    return true;
+}
+
+std::uint32_t Job::place(const TaskRef &ref, const WorkerId &worker)
+{
+    Task *found = task(ref);
+    if (found == nullptr || !isOpen() || found->phase != TaskPhase::Waiting || !mayStart(*findOccurrence(ref.occurrence), ref.step)) {
+        throw std::logic_error("a task was placed that may not start");
+    }
+    found->phase = TaskPhase::Placed;
+    found->worker = worker;
+    return ++found->run;
+}
+
+std::uint32_t Job::placeGang(std::uint32_t occurrence, std::uint32_t step, const std::vector<WorkerId> &workers)
+{
+    std::uint32_t run = 0;
+    for (std::uint32_t index = 0; index < workers.size(); ++index) {
+        run = std::max(run, place({occurrence, step, index}, workers[index]));
+    }
+    for (std::uint32_t index = 0; index < workers.size(); ++index) {
+        task({occurrence, step, index})->run = run;
+    }
+    return run;
+}
+
+EndOutcome Job::end(const TaskRef &ref, std::uint32_t run, RunEnd how, const std::string &checkpoint, std::int64_t wallMs)
+{
+    Task *found = task(ref);
+    if (found == nullptr || found->run != run || run == 0) {
+        return EndOutcome::Ignored;
+    }
+    // A run that was taken for lost may have been done; its task is not run again then.
+    const bool lateDone = found->phase == TaskPhase::Waiting && how == RunEnd::Done && !step(ref).lasting;
+    if (found->phase != TaskPhase::Placed && !lateDone) {
+        return EndOutcome::Ignored;
+    }
+    found->worker.clear();
+    if (step(ref).lasting) {
+        return restart(*found, checkpoint);
+    }
+    switch (how) {
+    case RunEnd::Done:
+        finish(ref, *found, wallMs);
+        return EndOutcome::TaskFinished;
+    case RunEnd::Failed:
+        restart(*found, checkpoint);
+        return fail(ref, *found, wallMs);
+    case RunEnd::Stopped:
+    case RunEnd::Lapsed:
+    case RunEnd::Broken:
+    case RunEnd::Alone:
+        break;
+    }
+    return restart(*found, checkpoint);
+}
+
+EndOutcome Job::lose(const TaskRef &ref, std::uint32_t run, std::int64_t wallMs)
+{
+    Task *found = task(ref);
+    if (found == nullptr || found->phase != TaskPhase::Placed || found->run != run) {
+        return EndOutcome::Ignored;
+    }
+    found->worker.clear();
+    if (step(ref).gang && !step(ref).lasting && gangIsDone(ref, run)) {
+        finish(ref, *found, wallMs);
+        return EndOutcome::TaskFinished;
+    }
+    return restart(*found, {});
+}
+
+EndOutcome Job::restart(Task &task, const std::string &checkpoint)
+{
+    task.phase = TaskPhase::Waiting;
+    if (!checkpoint.empty()) {
+        task.checkpoint = checkpoint;
+    }
+    return EndOutcome::TaskWaiting;
+}
+
+EndOutcome Job::fail(const TaskRef &ref, Task &task, std::int64_t wallMs)
+{
+    ++task.failures;
+    if (!isOpen() || failuresOf(ref) < m_record.terms.attempts) {
+        return EndOutcome::TaskWaiting;
+    }
+    m_record.state = JobState::Failed;
+    m_record.closedMs = wallMs;
+    return EndOutcome::JobFailed;
+}
+
+// A gang fails as one, by whichever member.
+std::uint32_t Job::failuresOf(const TaskRef &ref) const
+{
+    if (!step(ref).gang) {
+        return findTask(ref)->failures;
+    }
+    std::uint32_t failures = 0;
+    for (const Task &member : findOccurrence(ref.occurrence)->steps[ref.step]) {
+        failures += member.failures;
+    }
+    return failures;
+}
+
+// The members of a gang are done together, so one of them shows it for all.
+bool Job::gangIsDone(const TaskRef &ref, std::uint32_t run) const
+{
+    const std::vector<Task> &members = findOccurrence(ref.occurrence)->steps[ref.step];
+    return std::any_of(members.begin(), members.end(), [run](const Task &member) {
+        return member.phase == TaskPhase::Finished && member.run == run;
+    });
+}
+
+void Job::finish(const TaskRef &ref, Task &task, std::int64_t wallMs)
+{
+    task.phase = TaskPhase::Finished;
+    task.checkpoint.clear();
+    if (!isFinished(*findOccurrence(ref.occurrence))) {
+        return;
+    }
+    if (m_record.spec.recurrence.count > 0) {
+        std::erase_if(m_record.occurrences, [&](const Occurrence &occurrence) {
+            return occurrence.number == ref.occurrence;
+        });
+    }
+    const bool last = m_record.nextOccurrence >= std::max<std::uint32_t>(1, m_record.spec.recurrence.count);
+    if (isOpen() && last && std::all_of(m_record.occurrences.begin(), m_record.occurrences.end(), [](const Occurrence &occurrence) {
+            return isFinished(occurrence);
+        })) {
+        m_record.state = JobState::Completed;
+        m_record.closedMs = wallMs;
+    }
+}
+
+bool Job::saveProgress(const TaskRef &ref, std::uint32_t run, const std::string &checkpoint)
+{
+    Task *found = task(ref);
+    if (found == nullptr || found->phase != TaskPhase::Placed || found->run != run || found->checkpoint == checkpoint || checkpoint.empty()) {
+        return false;
+    }
+    found->checkpoint = checkpoint;
+    return true;
+}
+
+void Job::markBegun()
+{
+    m_record.begun = true;
+    if (m_record.state == JobState::Queued) {
+        m_record.state = JobState::Running;
+    }
+}
+
+bool Job::cancel(std::int64_t wallMs)
+{
+    if (!isOpen()) {
+        return false;
+    }
+    m_record.state = JobState::Cancelled;
+    m_record.closedMs = wallMs;
+    return true;
+}
+
+void Job::setTerms(const QueueTerms &terms)
+{
+    m_record.terms = terms;
+}
+
+const JobRecord &Job::record() const
+{
+    return m_record;
+}
+
+bool Job::isOpen() const
+{
+    return m_record.state == JobState::Queued || m_record.state == JobState::Running;
+}
+
+bool Job::mayStart(const Occurrence &occurrence, std::uint32_t step) const
+{
+    const std::vector<std::uint32_t> &after = m_record.spec.steps[step].after;
+    return std::all_of(after.begin(), after.end(), [&](std::uint32_t earlier) {
+        return isFinished(occurrence.steps[earlier]);
+    });
+}
+
+const Occurrence *Job::findOccurrence(std::uint32_t number) const
+{
+    const auto found = std::find_if(m_record.occurrences.begin(), m_record.occurrences.end(), [number](const Occurrence &occurrence) {
+        return occurrence.number == number;
+    });
+    return found == m_record.occurrences.end() ? nullptr : &*found;
+}
+
+const Task *Job::findTask(const TaskRef &ref) const
+{
+    const Occurrence *occurrence = findOccurrence(ref.occurrence);
+    if (occurrence == nullptr || ref.step >= occurrence->steps.size() || ref.index >= occurrence->steps[ref.step].size()) {
+        return nullptr;
+    }
+    return &occurrence->steps[ref.step][ref.index];
+}
+
+Task *Job::task(const TaskRef &ref)
+{
+    // The record is this object's own and not constant.
+    return const_cast<Task *>(findTask(ref)); // NOLINT(cppcoreguidelines-pro-type-const-cast)
+}
+
+const StepSpec &Job::step(const TaskRef &ref) const
+{
+    return m_record.spec.steps.at(ref.step);
+}
+
+std::optional<std::int64_t> Job::nextDueMs() const
+{
+    const Recurrence &recurrence = m_record.spec.recurrence;
+    if (!isOpen() || recurrence.count == 0 || m_record.nextOccurrence >= recurrence.count) {
+        return std::nullopt;
+    }
+    return recurrence.firstDueMs + static_cast<std::int64_t>(m_record.nextOccurrence) * recurrence.intervalMs;
+}
+
+bool Job::hasPlacedTasks() const
+{
+    for (const Occurrence &occurrence : m_record.occurrences) {
+        for (const std::vector<Task> &tasks : occurrence.steps) {
+            if (std::any_of(tasks.begin(), tasks.end(), [](const Task &task) {
+                    return task.phase == TaskPhase::Placed;
+                })) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+}
--- /dev/null
+++ b/libs/jobs/src/jobspec.cpp
@@ -0,0 +1,98 @@
+#include "jobs/jobspec.h"
+
+#include <algorithm>
+
+namespace Cornelquay {
+
+namespace {
+
+std::string findStepFault(const StepSpec &step, std::size_t number)
+{
+    const std::string place = "step " + std::to_string(number) + ": ";
+    if (step.count == 0) {
+        return place + "count must be at least 1";
+    }
+    if (step.demand.cpu < 0 || step.demand.memory < 0 || step.demand.gpu < 0) {
+        return place + "resources must not be negative";
+    }
+    const bool inOrder = std::all_of(step.after.begin(), step.after.end(), [number](std::uint32_t earlier) {
+        return earlier < number;
+    });
+    return inOrder ? std::string() : place + "it can only come after earlier steps";
+}
+
+}
+
+Resources &Resources::operator+=(const Resources &other)
+{
+    cpu += other.cpu;
+    memory += other.memory;
+    gpu += other.gpu;
+    return *this;
+}
+
+Resources &Resources::operator-=(const Resources &other)
+{
+    cpu -= other.cpu;
+    memory -= other.memory;
+    gpu -= other.gpu;
+    return *this;
+}
+
+bool Resources::fitsInto(const Resources &room) const
+{
+    return cpu <= room.cpu && memory <= room.memory && gpu <= room.gpu;
+}
+
+Resources operator+(Resources left, const Resources &right)
+{
+    return left += right;
+}
+
+Resources operator-(Resources left, const Resources &right)
+{
+    return left -= right;
+}
+
+Resources operator*(Resources left, std::int64_t factor)
+{
+    return {left.cpu * factor, left.memory * factor, left.gpu * factor};
+}
+
+std::string findFault(const JobSpec &spec)
+{
+    if (spec.payload.size() > JobLimits::PayloadBytesMax) {
+        return "the specification is longer than " + std::to_string(JobLimits::PayloadBytesMax) + " bytes";
+    }
+    if (spec.steps.empty() || spec.steps.size() > JobLimits::StepsMax) {
+        return "a job has 1 to " + std::to_string(JobLimits::StepsMax) + " steps";
+    }
+    std::uint64_t tasks = 0;
+    for (std::size_t number = 0; number < spec.steps.size(); ++number) {
+        if (std::string fault = findStepFault(spec.steps[number], number); !fault.empty()) {
+            return fault;
+        }
+        tasks += spec.steps[number].count;
+    }
+    if (tasks > JobLimits::TasksMax) {
+        return "a job has at most " + std::to_string(JobLimits::TasksMax) + " tasks";
+    }
+    if (spec.recurrence.count > 1 && spec.recurrence.intervalMs <= 0) {
+        return "a recurring job needs an interval";
+    }
+    return {};
+}
+
+std::vector<std::int64_t> chainsFrom(const JobSpec &spec)
+{
+    std::vector<std::int64_t> chains(spec.steps.size(), 0);
+    for (std::size_t number = spec.steps.size(); number-- > 0;) {
+        chains[number] += spec.steps[number].estimateMs;
+        for (const std::uint32_t earlier : spec.steps[number].after) {
+            chains[earlier] = std::max(chains[earlier], chains[number]);
+        }
+    }
+    return chains;
+}
+
+}
--- a/libs/peering/include/peering/envelope.h
+++ b/libs/peering/include/peering/envelope.h
@@ -51,6 +51,9 @@
 /** @p payload with its number and an HMAC-SHA256 over direction, number and payload. */
 std::string seal(const SessionKey &key, Direction direction, std::uint64_t number, std::string_view payload);
 
+/** The number that @p sealed claims to carry, not yet proven; nothing if it is too short. */
+std::optional<std::uint64_t> claimedNumber(std::string_view sealed);
+
 /** The payload if the seal is right and carries exactly @p number. */
 std::optional<std::string> unseal(const SessionKey &key, Direction direction, std::uint64_t number, std::string_view sealed);
 
--- a/libs/peering/include/peering/peermesh.h
+++ b/libs/peering/include/peering/peermesh.h
@@ -5,6 +5,8 @@
 #include "timing/instant.h"
 #include "transport/address.h"
 
+#include <tl/expected.hpp>
+
 #include <functional>
 #include <map>
 #include <memory>
@@ -22,6 +24,14 @@
     bool operator==(const PeerEndpoint &) const = default;
 };
 
+/** Why a request to another node has no reply. */
+enum class PeerFailure {
+    /** No connection stood, so the other node has not seen the request. */
+    NotSent,
+    /** The other node may have acted on the request. */
+    NoReply,
+};
+
 /**
  * Authenticated message streams between the nodes, over HTTP/2.
  *
@@ -44,6 +54,10 @@
 public:
     using RequestHandler = std::function<std::string(const Incarnation &from, const std::string &body)>;
     using ReplyHandler = std::function<void(std::optional<std::string> reply)>;
+    /** Takes the reply to one request, from any thread, at most once. */
+    using Replier = std::function<void(std::string reply)>;
+    using DeferredHandler = std::function<void(const Incarnation &from, const std::string &body, Replier reply)>;
+    using ResultHandler = std::function<void(tl::expected<std::string, PeerFailure> reply)>;
 
     class Builder
     {
@@ -52,6 +66,8 @@
         Builder &address(Address address);
         Builder &secret(std::string secret);
         Builder &onRequest(RequestHandler handler);
+        /** In place of onRequest(): a handler that replies at any later time. */
+        Builder &onDeferredRequest(DeferredHandler handler);
         Builder &metrics(Metrics &metrics);
         std::unique_ptr<PeerMesh> build();
 
@@ -60,7 +76,7 @@
         Incarnation m_self;
         Address m_address;
         std::string m_secret;
-        RequestHandler m_onRequest;
+        DeferredHandler m_onRequest;
         Metrics *m_metrics = nullptr;
     };
 
@@ -75,6 +91,8 @@
     void setPeers(std::vector<PeerEndpoint> peers);
     /** Sends one request; @p onReply is called once, with nothing after @p timeout or a loss. */
     void send(const std::string &peer, std::string body, std::chrono::milliseconds timeout, ReplyHandler onReply);
+    /** As send(), but tells a request that was not sent from one that was not answered. */
+    void ask(const std::string &peer, std::string body, std::chrono::milliseconds timeout, ResultHandler onResult);
 
     // Queries.
     bool isBound() const;
--- a/libs/peering/src/details/http2session.h
+++ b/libs/peering/src/details/http2session.h
@@ -31,8 +31,9 @@
     };
     /** Called with the reply's body, or nothing if the connection ended before. */
     using ReplyHandler = std::function<void(std::optional<std::string> reply)>;
-    /** Gives the reply to one request; nothing ends the connection. */
-    using RequestHandler = std::function<std::optional<std::string>(const std::string &path, const std::string &body)>;
+    /** Takes the reply to one request, on the session's thread; nothing ends the connection. */
+    using Responder = std::function<void(std::optional<std::string> reply)>;
+    using RequestHandler = std::function<void(const std::string &path, const std::string &body, Responder respond)>;
 
     /** @p wireBytes counts what is sent and received; it must outlive the session. */
     Http2Session(asio::ip::tcp::socket socket, Role role, std::atomic<std::uint64_t> &wireBytes, RequestHandler onRequest, std::function<void()> onClosed);
@@ -62,6 +63,7 @@
     void flush();
     void submitSettings();
     void finishRequest(std::int32_t streamId);
+    void respond(std::int32_t streamId, std::optional<std::string> reply);
 
     static ssize_t readOutgoing(
         nghttp2_session *, std::int32_t streamId, std::uint8_t *buffer, std::size_t length, std::uint32_t *flags, nghttp2_data_source *source, void *self);
--- a/libs/peering/src/envelope.cpp
+++ b/libs/peering/src/envelope.cpp
@@ -173,6 +173,14 @@
     return std::string(viewOf(sealOf(key, direction, body))) + body;
 }
 
+std::optional<std::uint64_t> claimedNumber(std::string_view sealed)
+{
+    if (sealed.size() < MacBytes + NumberBytes) {
+        return std::nullopt;
+    }
+    return decodeNumber(sealed.substr(MacBytes));
+}
+
 std::optional<std::string> unseal(const SessionKey &key, Direction direction, std::uint64_t number, std::string_view sealed)
 {
     if (sealed.size() < MacBytes + NumberBytes) {
--- a/libs/peering/src/http2session.cpp
+++ b/libs/peering/src/http2session.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::uint32_t StreamsMax = 32;
+constexpr std::uint32_t StreamsMax = 512;
 constexpr std::int32_t WindowBytes = 1 << 20;
 
 nghttp2_nv header(const char *name, const std::string &value)
@@ -187,16 +187,29 @@
     });
 }
 
-// Answers a request of the other side once it is whole.
+// Hands on a request of the other side once it is whole.
 void Http2Session::finishRequest(std::int32_t streamId)
 {
     const auto found = m_streams.find(streamId);
     if (found == m_streams.end() || !m_onRequest) {
         return;
     }
-    std::optional<std::string> reply = m_onRequest(found->second.path, found->second.incoming);
+    m_onRequest(found->second.path, found->second.incoming, [weak = weak_from_this(), streamId](std::optional<std::string> reply) {
+        if (const auto self = weak.lock()) {
+            self->respond(streamId, std::move(reply));
+        }
+    });
+}
+
+void Http2Session::respond(std::int32_t streamId, std::optional<std::string> reply)
+{
+    const auto found = m_streams.find(streamId);
+    if (m_closed || found == m_streams.end()) {
+        return;
+    }
     if (!reply) {
         nghttp2_session_terminate_session(m_session, NGHTTP2_REFUSED_STREAM);
+        flush();
         return;
     }
     found->second.outgoing = std::move(*reply);
@@ -205,6 +218,8 @@
     nghttp2_data_provider provider{};
     provider.read_callback = &Http2Session::readOutgoing;
     nghttp2_submit_response(m_session, streamId, headers, std::size(headers), &provider);
+    // Within a callback of nghttp2 the reader flushes afterwards.
+    flush();
 }
 
 ssize_t Http2Session::readOutgoing(
--- a/libs/peering/src/peermesh.cpp
+++ b/libs/peering/src/peermesh.cpp
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <set>
 #include <thread>
+#include <utility>
 
 namespace Cornelquay {
 
@@ -13,11 +14,29 @@
 /** Connections accepted at once; more than all nodes together need. */
 constexpr std::size_t AcceptedMax = 128;
 
-/** The listening end of one connection: its key after the hello, and the last message's number. */
+/** How far behind the highest number a message may come; streams of one connection overtake each other. */
+constexpr std::uint64_t NumberWindow = 4096;
+
+/** The listening end of one connection: its key after the hello, and the messages' numbers. */
 struct Acceptance {
     std::optional<SessionKey> key;
     Incarnation from;
-    std::uint64_t lastNumber = 0;
+    std::uint64_t highestNumber = 0;
+    /** Numbers seen within the window. */
+    std::set<std::uint64_t> seen;
+
+    /** Whether @p number is new; it is not afterwards. */
+    bool take(std::uint64_t number)
+    {
+        if (number + NumberWindow <= highestNumber || !seen.insert(number).second) {
+            return false;
+        }
+        highestNumber = std::max(highestNumber, number);
+        while (!seen.empty() && *seen.begin() + NumberWindow <= highestNumber) {
+            seen.erase(seen.begin());
+        }
+        return true;
+    }
 };
 
 }
@@ -38,7 +57,7 @@
     }
 
     const std::string secret;
-    const RequestHandler onRequest;
+    const DeferredHandler onRequest;
     std::atomic<std::uint64_t> wireBytes = 0;
     asio::io_context io;
     asio::executor_work_guard<asio::io_context::executor_type> guard = asio::make_work_guard(io);
@@ -54,7 +73,8 @@
     void bind(const Address &address);
     void accept();
     void serve(asio::ip::tcp::socket socket);
-    std::optional<std::string> answer(Acceptance &acceptance, const std::string &path, const std::string &body);
+    void
+    answer(const std::shared_ptr<Acceptance> &acceptance, const std::string &path, const std::string &body, const Details::Http2Session::Responder &respond);
     std::optional<std::string> greet(Acceptance &acceptance, const std::string &body);
     void closeAll();
 };
@@ -98,8 +118,8 @@
         std::move(socket),
         Details::Http2Session::Role::Listener,
         wireBytes,
-        [this, acceptance](const std::string &path, const std::string &body) {
-            return answer(*acceptance, path, body);
+        [this, acceptance](const std::string &path, const std::string &body, const Details::Http2Session::Responder &respond) {
+            answer(acceptance, path, body, respond);
         },
         [this, slot] {
             const auto closed = slot->lock();
@@ -124,19 +144,27 @@
     return encode(reply);
 }
 
-std::optional<std::string> PeerMesh::Impl::answer(Acceptance &acceptance, const std::string &path, const std::string &body)
+void PeerMesh::Impl::answer(const std::shared_ptr<Acceptance> &acceptance,
+                            const std::string &path,
+                            const std::string &body,
+                            const Details::Http2Session::Responder &respond)
 {
     if (path == "/hello") {
-        return greet(acceptance, body);
+        respond(greet(*acceptance, body));
+        return;
     }
-    const std::uint64_t number = acceptance.lastNumber + 1;
-    const std::optional<std::string> payload = acceptance.key ? unseal(*acceptance.key, Direction::Request, number, body) : std::nullopt;
-    if (!payload) {
+    const std::optional<std::uint64_t> number = claimedNumber(body);
+    const std::optional<std::string> payload = acceptance->key && number ? unseal(*acceptance->key, Direction::Request, *number, body) : std::nullopt;
+    if (!payload || !acceptance->take(*number)) {
         rejectedTotal.increment();
-        return std::nullopt;
+        respond(std::nullopt);
+        return;
     }
-    acceptance.lastNumber = number;
-    return seal(*acceptance.key, Direction::Reply, number, onRequest(acceptance.from, *payload));
+    onRequest(acceptance->from, *payload, [this, key = *acceptance->key, number = *number, respond](const std::string &reply) {
+        asio::post(io, [respond, sealed = seal(key, Direction::Reply, number, reply)] {
+            respond(sealed);
+        });
+    });
 }
 
 void PeerMesh::Impl::closeAll()
@@ -172,6 +200,14 @@
 }
 
 PeerMesh::Builder &PeerMesh::Builder::onRequest(RequestHandler handler)
+{
+    m_onRequest = [handler = std::move(handler)](const Incarnation &from, const std::string &body, const Replier &reply) {
+        reply(handler(from, body));
+    };
+    return *this;
+}
+
+PeerMesh::Builder &PeerMesh::Builder::onDeferredRequest(DeferredHandler handler)
 {
     m_onRequest = std::move(handler);
     return *this;
@@ -242,13 +278,20 @@
 
 void PeerMesh::send(const std::string &peer, std::string body, std::chrono::milliseconds timeout, ReplyHandler onReply)
 {
-    asio::post(m_impl->io, [this, peer, body = std::move(body), timeout, onReply = std::move(onReply)]() mutable {
+    ask(peer, std::move(body), timeout, [onReply = std::move(onReply)](tl::expected<std::string, PeerFailure> reply) {
+        onReply(reply ? std::optional(std::move(*reply)) : std::nullopt);
+    });
+}
+
+void PeerMesh::ask(const std::string &peer, std::string body, std::chrono::milliseconds timeout, ResultHandler onResult)
+{
+    asio::post(m_impl->io, [this, peer, body = std::move(body), timeout, onResult = std::move(onResult)]() mutable {
         const auto dialler = m_impl->diallers.find(peer);
         if (dialler == m_impl->diallers.end()) {
-            onReply(std::nullopt);
+            onResult(tl::make_unexpected(PeerFailure::NotSent));
             return;
         }
-        dialler->second->send(std::move(body), timeout, std::move(onReply));
+        dialler->second->send(std::move(body), timeout, std::move(onResult));
     });
 }
 
--- /dev/null
+++ b/libs/scheduling/include/scheduling/scheduler.h
@@ -0,0 +1,175 @@
+#pragma once
+
+#include "jobs/job.h"
+#include "scheduling/fleetpolicy.h"
+#include "scheduling/orders.h"
+#include "scheduling/workersession.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Cornelquay {
+
+/** Times that the scheduler goes by. */
+struct SchedulerTimes {
+    LeaseTerms lease;
+    /** Longest time that a stop may take. */
+    std::chrono::milliseconds stopGrace{900};
+    /** How long closed jobs are remembered. */
+    std::chrono::milliseconds statusKept{120000};
+    /** After a takeover without a hand-over: how long the predecessor may have gone on extending leases. */
+    std::chrono::milliseconds predecessorHold{9500};
+};
+
+/** What came of handing a job in. */
+struct SubmitOutcome {
+    enum class Kind {
+        /** New; accepted once the batch is stored. */
+        Added,
+        /** Known before; acknowledged once the batch is stored. */
+        Known,
+        /** Nothing was kept; it never runs. */
+        Refused,
+    };
+    Kind kind = Kind::Refused;
+    std::uint64_t batch = 0;
+    std::string reason;
+};
+
+/** What came of a cancel. */
+struct CancelOutcome {
+    bool known = false;
+    /** The cancel is durable once this batch is stored. */
+    std::uint64_t batch = 0;
+};
+
+/** One thing that the scheduler did or found out, for the log. */
+struct Notice {
+    std::string_view event;
+    JobId job;
+    TaskRef task;
+    std::uint32_t run = 0;
+    WorkerId worker;
+    std::string detail;
+};
+
+/** Which orders an owner may give at the moment. */
+enum class OrderScope {
+    All,
+    /** Only such as keep what runs running. */
+    Leases,
+};
+
+/** Records to store together. */
+struct RecordBatch {
+    std::uint64_t number = 0;
+    std::vector<std::pair<JobId, std::string>> records;
+    /** Jobs to forget. */
+    std::vector<JobId> dropped;
+
+    bool isEmpty() const
+    {
+        return records.empty() && dropped.empty();
+    }
+};
+
+/** Figures for metrics and for the operators. */
+struct SchedulerCounts {
+    std::size_t jobs = 0;
+    std::size_t openJobs = 0;
+    std::size_t workers = 0;
+    std::size_t reachableWorkers = 0;
+    std::size_t runs = 0;
+};
+
+/**
+ * The one owner of a fleet's jobs and workers for as long as it reigns.
+ *
+ * Pure: events and the time go in; orders for workers and batches of records come out. The caller
+ * stores each batch, says so with noteStored(), and carries out orders. A placement leaves as an
+ * order only after its record is stored, and an end is acknowledged only after its record is, so
+ * that a successor that starts from the records knows where each run may be. Not thread-safe.
+ *
+ * @code
+ * Scheduler scheduler(times, epoch, now);
+ * scheduler.setPolicy(policy);
+ * scheduler.submit(record, now);
+ * scheduler.advance(now, wallMs);
+ * RecordBatch batch = scheduler.takeBatch();
+ * ...stored...
+ * scheduler.noteStored(batch.number, now);
+ * for (Order &order : scheduler.takeOrders(now, OrderScope::All)) { ... }
+ * @endcode
+ */
+class Scheduler
+{
+public:
+    /** @p epoch is higher than that of any earlier owner. */
+    Scheduler(SchedulerTimes times, std::uint64_t epoch, BootTime now);
+    ~Scheduler();
+    Scheduler(const Scheduler &) = delete;
+    Scheduler &operator=(const Scheduler &) = delete;
+
+    // Commands at the start: records of the predecessor, before anything else.
+    void restore(JobRecord record, BootTime now, std::int64_t wallMs);
+    /** The predecessor let go and extends nothing any more. */
+    void notePredecessorGone();
+
+    // Commands: the fleet.
+    void setPolicy(std::shared_ptr<const FleetPolicy> policy);
+    void workerSeen(const WorkerFacts &facts, BootTime now);
+    void workerRemoved(const WorkerId &worker);
+    /** No new work for these workers, which are about to be taken away; replaces the former set. */
+    void setCordoned(std::vector<WorkerId> workers);
+    /** The worker's machine was ended by an order: nothing runs there any more. */
+    void workerEnded(const WorkerId &worker, std::int64_t wallMs);
+    /** Asks for the end of runs on a worker that is to be taken away, as far as their budgets allow. */
+    void evacuate(const WorkerId &worker, BootTime now);
+
+    // Commands: client accounts.
+    SubmitOutcome submit(JobRecord record, BootTime now, std::int64_t wallMs);
+    CancelOutcome cancel(const JobId &job, std::int64_t wallMs);
+
+    // Commands: what came of orders.
+    void noteHold(const HoldOrder &order, BootTime sentAt, const HoldResult &result, BootTime now, std::int64_t wallMs);
+    void noteStart(const StartOrder &order, const OrderResult &result, BootTime now, std::int64_t wallMs);
+    void noteStop(const StopOrder &order, const OrderResult &result, BootTime now);
+    void notePace(const PaceOrder &order, const OrderResult &result, BootTime now);
+    void noteAdvice(const AdviceOrder &order, const std::vector<Permission> &permissions, BootTime now);
+
+    // Commands: time and storage.
+    void advance(BootTime now, std::int64_t wallMs);
+    RecordBatch takeBatch();
+    void noteStored(std::uint64_t batch, BootTime now);
+    std::vector<Order> takeOrders(BootTime now, OrderScope scope);
+    std::vector<Notice> takeNotices();
+
+    // Queries.
+    /** A worker has seen a higher token than this owner's: there is a successor. */
+    bool isDeposed() const;
+    bool isStored(std::uint64_t batch) const;
+    /** Something waits to be stored. */
+    bool hasUnstored() const;
+    /** What may be said of a job: only what is stored. Nothing if it is not known. */
+    std::optional<JobState> stateOf(const JobId &job) const;
+    const JobRecord *findJob(const JobId &job) const;
+    /** Accepted jobs of @p queue of which no task has started. */
+    std::size_t pendingOf(const std::string &queue) const;
+    SchedulerCounts counts() const;
+    const WorkerSession *findWorker(const WorkerId &worker) const;
+    /** Calls @p visit for each worker. */
+    void visitWorkers(const std::function<void(const WorkerSession &session)> &visit) const;
+    /** Work that waits for room, by pool. */
+    Resources backlogOf(const std::string &pool) const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+}
--- /dev/null
+++ b/libs/scheduling/src/details/schedulerimpl.h
@@ -0,0 +1,145 @@
+#pragma once
+
+#include "scheduling/joborder.h"
+#include "scheduling/placement.h"
+#include "scheduling/scheduler.h"
+
+#include <map>
+#include <set>
+#include <unordered_map>
+
+namespace Cornelquay {
+
+/** A job with what its owner knows of it beside its record. */
+struct JobEntry {
+    explicit JobEntry(JobRecord record)
+        : job(std::move(record))
+    {
+    }
+
+    Job job;
+    /** Changed since it was last handed out for storing. */
+    bool dirty = false;
+    /** Some stored record knows the job. */
+    bool stored = false;
+    JobState storedState = JobState::Queued;
+    /** The latest batch that has it. */
+    std::uint64_t batch = 0;
+    /** Some task may be ready to be placed. */
+    bool mayHaveReady = true;
+    bool beyondAgreement = false;
+    bool lasting = false;
+    JobOutlook outlook;
+    /** Workers on which a task failed. */
+    std::map<TaskRef, std::set<WorkerId>> failedOn;
+    BootTime waitsSince{};
+};
+
+/** What the advice service said of one step. */
+struct StepAdvice {
+    struct Ticket {
+        std::string text;
+        BootTime usableUntil{};
+    };
+    std::map<WorkerId, Ticket> good;
+    std::set<WorkerId> refused;
+    bool inFlight = false;
+    BootTime askAgainAt{};
+};
+
+/** Jobs that an account may still send within its agreement. */
+struct SubmissionBucket {
+    double jobs = 0;
+    BootTime filledAt{};
+    bool started = false;
+};
+
+/** A pool's workers during one pass over waiting jobs. */
+struct PoolRoom {
+    std::vector<PlacementCandidate> all;
+    std::vector<PlacementCandidate *> open;
+    /** Demands that found no room in this pass. */
+    std::vector<Resources> refused;
+};
+
+struct Scheduler::Impl {
+    Impl(SchedulerTimes givenTimes, std::uint64_t epoch, BootTime now);
+
+    const SchedulerTimes times;
+    /** First token of this owner; above all tokens of earlier ones. */
+    const std::uint64_t firstToken;
+    const BootTime reignsSince;
+    bool predecessorGone = false;
+    bool deposed = false;
+    std::shared_ptr<const FleetPolicy> policy = std::make_shared<FleetPolicy>();
+    std::unordered_map<JobId, JobEntry> jobs;
+    std::map<WorkerId, WorkerSession> workers;
+    std::set<WorkerId> cordoned;
+    std::map<std::string, Resources> accountUsed;
+    std::map<std::string, SubmissionBucket> buckets;
+    std::map<std::string, Resources> backlog;
+    std::map<std::pair<JobId, std::pair<std::uint32_t, std::uint32_t>>, StepAdvice> advice;
+    std::size_t adviceInFlight = 0;
+
+    std::uint64_t nextBatch = 1;
+    std::uint64_t storedBatch = 0;
+    std::vector<JobId> dirtyJobs;
+    std::vector<JobId> droppedJobs;
+    std::map<std::uint64_t, std::vector<std::pair<JobId, JobState>>> batchStates;
+    std::map<std::uint64_t, std::vector<std::pair<WorkerId, TaskName>>> batchStarts;
+
+    std::vector<std::pair<WorkerId, TaskName>> dueStarts;
+    std::vector<Order> orders;
+    std::vector<Notice> notices;
+    bool placingWanted = true;
+    BootTime placedAt{};
+    BootTime housekeptAt{};
+
+    // Records.
+    void markDirty(JobEntry &entry);
+    std::uint64_t gate() const;
+    JobEntry *findEntry(const JobId &job);
+    void refreshOutlook(JobEntry &entry);
+    void closeRuns(JobEntry &entry);
+    void notice(std::string_view event, const TaskName &task, std::uint32_t run, const WorkerId &worker, std::string detail = {});
+
+    // Runs.
+    void addRun(WorkerSession &session, const TaskName &task, const JobEntry &entry, LiveRun run);
+    void removeRun(WorkerSession &session, const TaskName &task);
+    void loseRun(WorkerSession &session, const TaskName &task, std::int64_t wallMs, std::string_view reason);
+    void loseAllRuns(WorkerSession &session, std::int64_t wallMs, std::string_view reason);
+    void wantStop(WorkerSession &session, const TaskName &task, std::string_view reason);
+    bool mayTakeOut(const TaskName &task);
+
+    // Results.
+    void applyListing(WorkerSession &session, const HoldOrder &order, BootTime sentAt, const Listing &listing, BootTime now, std::int64_t wallMs);
+    void applyEnd(WorkerSession &session, const ListedEnd &end, BootTime now, std::int64_t wallMs);
+    void applyRunning(WorkerSession &session, const ListedRun &run, BootTime now);
+    void applyAbsent(WorkerSession &session, const HoldOrder &order, BootTime sentAt, const Listing &listing, std::int64_t wallMs);
+
+    // Time.
+    void openDueOccurrences(std::int64_t wallMs);
+    void endLeases(BootTime now, std::int64_t wallMs);
+    void watchRuns(BootTime now);
+    void forgetClosed(std::int64_t wallMs);
+
+    // Placing.
+    void placeWaiting(BootTime now);
+    std::map<std::string, PoolRoom> gatherRoom(BootTime now);
+    void placeJob(JobEntry &entry, PoolRoom &room, BootTime now);
+    void placeStep(JobEntry &entry, const Occurrence &occurrence, std::uint32_t step, PoolRoom &room, BootTime now);
+    void placeGang(JobEntry &entry, const Occurrence &occurrence, std::uint32_t step, PlacementRequest request, PoolRoom &room, BootTime now);
+    PlacementRequest makeRequest(const JobEntry &entry, const Occurrence &occurrence, std::uint32_t step) const;
+    PlacementCandidate *choose(const PlacementRequest &request, PoolRoom &room, const StepAdvice *permissions, BootTime now);
+    void commitPlacement(JobEntry &entry, const TaskRef &ref, std::uint32_t run, PlacementCandidate &candidate, const std::string &ticket, BootTime now);
+    bool isWithinCap(const JobEntry &entry, const Resources &demand) const;
+    JobUrgency urgencyOf(const JobEntry &entry, BootTime now) const;
+    StepAdvice *adviceFor(JobEntry &entry, const Occurrence &occurrence, std::uint32_t step, PoolRoom &room, BootTime now);
+
+    // Orders.
+    void releaseStarts(BootTime now);
+    void releaseStops(BootTime now);
+    void releaseHolds(BootTime now, std::vector<Order> &taken);
+};
+
+}
--- /dev/null
+++ b/libs/scheduling/src/scheduler.cpp
@@ -0,0 +1,382 @@
+#include "scheduling/scheduler.h"
+
+#include "details/schedulerimpl.h"
+#include "jobs/jobcodec.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Cornelquay {
+
+namespace {
+
+// Orders of one owner to one worker are far fewer than this between two owners.
+constexpr std::uint64_t TokensPerEpoch = 1000000;
+
+}
+
+Scheduler::Impl::Impl(SchedulerTimes givenTimes, std::uint64_t epoch, BootTime now)
+    : times(givenTimes)
+    , firstToken(epoch * TokensPerEpoch + 1)
+    , reignsSince(now)
+{
+}
+
+void Scheduler::Impl::markDirty(JobEntry &entry)
+{
+    if (!entry.dirty) {
+        entry.dirty = true;
+        dirtyJobs.push_back(entry.job.record().id);
+    }
+    entry.mayHaveReady = true;
+    placingWanted = true;
+}
+
+// The batch after which all that was decided so far is durable.
+std::uint64_t Scheduler::Impl::gate() const
+{
+    return dirtyJobs.empty() ? nextBatch - 1 : nextBatch;
+}
+
+JobEntry *Scheduler::Impl::findEntry(const JobId &job)
+{
+    const auto found = jobs.find(job);
+    return found == jobs.end() ? nullptr : &found->second;
+}
+
+void Scheduler::Impl::notice(std::string_view event, const TaskName &task, std::uint32_t run, const WorkerId &worker, std::string detail)
+{
+    notices.push_back({event, task.job, task.ref, run, worker, std::move(detail)});
+}
+
+void Scheduler::Impl::refreshOutlook(JobEntry &entry)
+{
+    const JobSpec &spec = entry.job.record().spec;
+    const std::vector<std::int64_t> chains = chainsFrom(spec);
+    JobOutlook &outlook = entry.outlook;
+    outlook.chainLeftMs = 0;
+    outlook.workAll = 0;
+    outlook.workLeft = 0;
+    std::int64_t chainAll = 0;
+    for (std::size_t step = 0; step < spec.steps.size(); ++step) {
+        const double each = static_cast<double>(spec.steps[step].demand.cpu) / 1000.0 * static_cast<double>(spec.steps[step].estimateMs);
+        outlook.workAll += each * spec.steps[step].count;
+        chainAll = std::max(chainAll, chains[step]);
+        for (const Occurrence &occurrence : entry.job.record().occurrences) {
+            const auto left = std::count_if(occurrence.steps[step].begin(), occurrence.steps[step].end(), [](const Task &task) {
+                return task.phase != TaskPhase::Finished;
+            });
+            if (left > 0) {
+                outlook.chainLeftMs = std::max(outlook.chainLeftMs, chains[step]);
+                outlook.workLeft += each * static_cast<double>(left);
+            }
+        }
+        entry.lasting = entry.lasting || spec.steps[step].lasting;
+    }
+    const QueueTerms &terms = entry.job.record().terms;
+    outlook.objective
+        = outlook.receivedAt + std::chrono::milliseconds(static_cast<std::int64_t>(terms.stretch * static_cast<double>(chainAll)) + terms.slackMs);
+}
+
+Scheduler::Scheduler(SchedulerTimes times, std::uint64_t epoch, BootTime now)
+    : m_impl(std::make_unique<Impl>(times, epoch, now))
+{
+}
+
+Scheduler::~Scheduler() = default;
+
+void Scheduler::restore(JobRecord record, BootTime now, std::int64_t wallMs)
+{
+    const JobId id = record.id;
+    JobEntry &entry = m_impl->jobs.insert_or_assign(id, JobEntry(std::move(record))).first->second;
+    const JobRecord &kept = entry.job.record();
+    entry.stored = true;
+    entry.storedState = kept.state;
+    entry.outlook.receivedAt = now - std::chrono::milliseconds(std::clamp<std::int64_t>(wallMs - kept.submittedMs, 0, m_impl->times.statusKept.count()));
+    m_impl->refreshOutlook(entry);
+    for (const Occurrence &occurrence : kept.occurrences) {
+        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            for (std::uint32_t index = 0; index < occurrence.steps[step].size(); ++index) {
+                const Task &task = occurrence.steps[step][index];
+                if (task.phase != TaskPhase::Placed) {
+                    continue;
+                }
+                // Whether the run was started is known once its worker was asked with a higher token.
+                LiveRun run;
+                run.run = task.run;
+                run.start = StartProgress::Unanswered;
+                run.since = now;
+                run.stop = entry.job.isOpen() ? StopProgress::NotWanted : StopProgress::Due;
+                WorkerFacts facts;
+                facts.id = task.worker;
+                auto worker = m_impl->workers.try_emplace(task.worker, facts, m_impl->firstToken, m_impl->times.lease).first;
+                m_impl->addRun(worker->second, {id, {occurrence.number, step, index}}, entry, std::move(run));
+            }
+        }
+    }
+    for (auto &[workerId, session] : m_impl->workers) {
+        session.setRegistered(false);
+        session.assumeLease(now + m_impl->times.predecessorHold);
+    }
+}
+
+void Scheduler::notePredecessorGone()
+{
+    m_impl->predecessorGone = true;
+}
+
+void Scheduler::setPolicy(std::shared_ptr<const FleetPolicy> policy)
+{
+    m_impl->policy = std::move(policy);
+    for (auto &[id, entry] : m_impl->jobs) {
+        const auto queue = m_impl->policy->queues.find(entry.job.record().queue);
+        if (entry.job.isOpen() && queue != m_impl->policy->queues.end()) {
+            entry.job.setTerms(queue->second.terms);
+        }
+    }
+    m_impl->placingWanted = true;
+}
+
+void Scheduler::workerSeen(const WorkerFacts &facts, BootTime now)
+{
+    const auto [worker, added] = m_impl->workers.try_emplace(facts.id, facts, m_impl->firstToken, m_impl->times.lease);
+    if (added) {
+        m_impl->notice("worker-registered", {}, 0, facts.id, facts.pool);
+    } else if (worker->second.facts().state != facts.state) {
+        m_impl->notice("worker-state", {}, 0, facts.id, facts.state == WorkerState::Draining ? "draining" : "ready");
+    }
+    worker->second.setFacts(facts, now);
+    worker->second.setRegistered(true);
+    m_impl->placingWanted = true;
+}
+
+void Scheduler::workerRemoved(const WorkerId &worker)
+{
+    const auto found = m_impl->workers.find(worker);
+    if (found != m_impl->workers.end()) {
+        found->second.setRegistered(false);
+        m_impl->notice("worker-unregistered", {}, 0, worker);
+    }
+}
+
+void Scheduler::setCordoned(std::vector<WorkerId> workers)
+{
+    m_impl->cordoned = {workers.begin(), workers.end()};
+    m_impl->placingWanted = true;
+}
+
+void Scheduler::workerEnded(const WorkerId &worker, std::int64_t wallMs)
+{
+    const auto found = m_impl->workers.find(worker);
+    if (found != m_impl->workers.end()) {
+        m_impl->loseAllRuns(found->second, wallMs, "machine-ended");
+        found->second.setRegistered(false);
+    }
+}
+
+void Scheduler::evacuate(const WorkerId &worker, BootTime now)
+{
+    const auto found = m_impl->workers.find(worker);
+    if (found == m_impl->workers.end()) {
+        return;
+    }
+    for (auto &[task, run] : found->second.runs()) {
+        if (run.lasting && run.start == StartProgress::Accepted && run.stop == StopProgress::NotWanted && m_impl->mayTakeOut(task)) {
+            m_impl->wantStop(found->second, task, "evacuation");
+        }
+    }
+    (void)now;
+}
+
+SubmitOutcome Scheduler::submit(JobRecord record, BootTime now, std::int64_t wallMs)
+{
+    Impl &impl = *m_impl;
+    if (const JobEntry *known = impl.findEntry(record.id)) {
+        return {SubmitOutcome::Kind::Known, known->stored ? impl.storedBatch : std::max(known->batch, impl.gate()), {}};
+    }
+    const JobId id = record.id;
+    record.submittedMs = wallMs;
+    JobEntry &entry = impl.jobs.try_emplace(id, std::move(record)).first->second;
+    entry.outlook.receivedAt = now;
+    entry.waitsSince = now;
+    const auto account = impl.policy->accounts.find(entry.job.record().account);
+    if (account != impl.policy->accounts.end()) {
+        SubmissionBucket &bucket = impl.buckets[account->first];
+        const double most = std::max(1.0, account->second.weight);
+        const double elapsed = bucket.started ? static_cast<double>((now - bucket.filledAt).count()) / 1000.0 : 1.0;
+        bucket = {std::min(most, bucket.jobs + elapsed * account->second.weight), now, true};
+        entry.beyondAgreement = bucket.jobs < 1.0;
+        bucket.jobs = std::max(0.0, bucket.jobs - 1.0);
+    }
+    if (entry.job.record().spec.recurrence.count == 0) {
+        entry.job.openOccurrence();
+    }
+    impl.refreshOutlook(entry);
+    impl.markDirty(entry);
+    impl.notice("job-received", {id, {}}, 0, {}, entry.job.record().queue);
+    return {SubmitOutcome::Kind::Added, impl.gate(), {}};
+}
+
+CancelOutcome Scheduler::cancel(const JobId &job, std::int64_t wallMs)
+{
+    Impl &impl = *m_impl;
+    JobEntry *entry = impl.findEntry(job);
+    if (entry == nullptr) {
+        return {};
+    }
+    if (entry->job.cancel(wallMs)) {
+        impl.markDirty(*entry);
+        impl.notice("job-cancelled", {job, {}}, 0, {});
+        impl.closeRuns(*entry);
+    }
+    return {true, std::max(entry->batch, impl.gate())};
+}
+
+// A closed job's runs are ended: stopped where they may have started, taken back where they were not sent.
+void Scheduler::Impl::closeRuns(JobEntry &entry)
+{
+    const JobId &id = entry.job.record().id;
+    for (const Occurrence &occurrence : std::vector<Occurrence>(entry.job.record().occurrences)) {
+        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            for (std::uint32_t index = 0; index < occurrence.steps[step].size(); ++index) {
+                const Task &task = occurrence.steps[step][index];
+                const auto worker = workers.find(task.worker);
+                if (task.phase == TaskPhase::Placed && worker != workers.end()) {
+                    wantStop(worker->second, {id, {occurrence.number, step, index}}, "job-closed");
+                }
+            }
+        }
+    }
+}
+
+RecordBatch Scheduler::takeBatch()
+{
+    Impl &impl = *m_impl;
+    RecordBatch batch;
+    batch.number = impl.nextBatch;
+    for (const JobId &id : impl.dirtyJobs) {
+        JobEntry *entry = impl.findEntry(id);
+        if (entry == nullptr || !entry->dirty) {
+            continue;
+        }
+        entry->dirty = false;
+        entry->batch = batch.number;
+        batch.records.emplace_back(id, encodeJob(entry->job.record()));
+        impl.batchStates[batch.number].emplace_back(id, entry->job.record().state);
+    }
+    impl.dirtyJobs.clear();
+    batch.dropped = std::move(impl.droppedJobs);
+    impl.droppedJobs.clear();
+    if (!batch.isEmpty()) {
+        ++impl.nextBatch;
+    }
+    return batch;
+}
+
+void Scheduler::noteStored(std::uint64_t batch, BootTime now)
+{
+    Impl &impl = *m_impl;
+    impl.storedBatch = std::max(impl.storedBatch, batch);
+    for (const auto &[id, state] : impl.batchStates[batch]) {
+        if (JobEntry *entry = impl.findEntry(id)) {
+            entry->stored = true;
+            entry->storedState = state;
+        }
+    }
+    impl.batchStates.erase(batch);
+    for (const auto &[worker, task] : impl.batchStarts[batch]) {
+        const auto session = impl.workers.find(worker);
+        if (session == impl.workers.end()) {
+            continue;
+        }
+        const auto run = session->second.runs().find(task);
+        if (run != session->second.runs().end() && run->second.start == StartProgress::Unstored && run->second.batch <= batch) {
+            run->second.start = StartProgress::Due;
+            impl.dueStarts.emplace_back(worker, task);
+        }
+    }
+    impl.batchStarts.erase(batch);
+    for (auto &[id, session] : impl.workers) {
+        session.noteStored(impl.storedBatch, now);
+    }
+}
+
+std::vector<Notice> Scheduler::takeNotices()
+{
+    return std::exchange(m_impl->notices, {});
+}
+
+bool Scheduler::isDeposed() const
+{
+    return m_impl->deposed;
+}
+
+bool Scheduler::isStored(std::uint64_t batch) const
+{
+    return batch <= m_impl->storedBatch;
+}
+
+bool Scheduler::hasUnstored() const
+{
+    return !m_impl->dirtyJobs.empty() || !m_impl->droppedJobs.empty();
+}
+
+std::optional<JobState> Scheduler::stateOf(const JobId &job) const
+{
+    const JobEntry *entry = m_impl->findEntry(job);
+    if (entry == nullptr || !entry->stored) {
+        return std::nullopt;
+    }
+    const bool begun = entry->storedState == JobState::Queued && entry->job.record().begun;
+    return begun ? JobState::Running : entry->storedState;
+}
+
+const JobRecord *Scheduler::findJob(const JobId &job) const
+{
+    const JobEntry *entry = m_impl->findEntry(job);
+    return entry == nullptr ? nullptr : &entry->job.record();
+}
+
+std::size_t Scheduler::pendingOf(const std::string &queue) const
+{
+    return static_cast<std::size_t>(std::count_if(m_impl->jobs.begin(), m_impl->jobs.end(), [&](const auto &item) {
+        const JobEntry &entry = item.second;
+        return entry.stored && entry.job.isOpen() && !entry.job.record().begun && entry.job.record().queue == queue;
+    }));
+}
+
+SchedulerCounts Scheduler::counts() const
+{
+    SchedulerCounts counts;
+    counts.jobs = m_impl->jobs.size();
+    for (const auto &[id, entry] : m_impl->jobs) {
+        counts.openJobs += entry.job.isOpen() ? 1 : 0;
+    }
+    counts.workers = m_impl->workers.size();
+    for (const auto &[id, session] : m_impl->workers) {
+        counts.reachableWorkers += session.isReachable() ? 1 : 0;
+        counts.runs += session.runs().size();
+    }
+    return counts;
+}
+
+const WorkerSession *Scheduler::findWorker(const WorkerId &worker) const
+{
+    const auto found = m_impl->workers.find(worker);
+    return found == m_impl->workers.end() ? nullptr : &found->second;
+}
+
+void Scheduler::visitWorkers(const std::function<void(const WorkerSession &session)> &visit) const
+{
+    for (const auto &[id, session] : m_impl->workers) {
+        visit(session);
+    }
+}
+
+Resources Scheduler::backlogOf(const std::string &pool) const
+{
+    const auto found = m_impl->backlog.find(pool);
+    return found == m_impl->backlog.end() ? Resources{} : found->second;
+}
+
+}
--- /dev/null
+++ b/libs/scheduling/src/schedulerplacing.cpp
@@ -0,0 +1,314 @@
+#include "details/schedulerimpl.h"
+
+#include <algorithm>
+
+namespace Cornelquay {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Workers asked about in one call of the advice service; more would take longer than a task waits.
+constexpr std::size_t AdvisedWorkersMax = 30;
+// A permission must outlive the way of the start order.
+constexpr auto TicketMargin = 400ms;
+constexpr auto AdviceRetry = 500ms;
+
+bool anyFitsInto(const std::vector<Resources> &refused, const Resources &demand)
+{
+    return std::any_of(refused.begin(), refused.end(), [&](const Resources &smaller) {
+        return smaller.fitsInto(demand);
+    });
+}
+
+}
+
+JobUrgency Scheduler::Impl::urgencyOf(const JobEntry &entry, BootTime now) const
+{
+    JobUrgency urgency;
+    urgency.lasting = entry.lasting;
+    urgency.beyondAgreement = entry.beyondAgreement;
+    urgency.priority = entry.job.record().terms.priority;
+    urgency.late = isLate(entry.outlook, now);
+    urgency.density = valueDensity(entry.outlook);
+    urgency.receivedAt = entry.outlook.receivedAt;
+    return urgency;
+}
+
+std::map<std::string, PoolRoom> Scheduler::Impl::gatherRoom(BootTime now)
+{
+    std::map<std::string, PoolRoom> rooms;
+    for (auto &[id, session] : workers) {
+        if (session.mayTakeWork(now) && cordoned.count(id) == 0) {
+            rooms[session.facts().pool].all.push_back({&session, false});
+        }
+    }
+    for (auto &[pool, room] : rooms) {
+        for (PlacementCandidate &candidate : room.all) {
+            room.open.push_back(&candidate);
+        }
+    }
+    return rooms;
+}
+
+void Scheduler::Impl::placeWaiting(BootTime now)
+{
+    placedAt = now;
+    placingWanted = false;
+    backlog.clear();
+    std::vector<std::pair<JobUrgency, JobEntry *>> waiting;
+    for (auto &[id, entry] : jobs) {
+        if (entry.mayHaveReady && entry.job.isOpen()) {
+            waiting.emplace_back(urgencyOf(entry, now), &entry);
+        }
+    }
+    if (waiting.empty()) {
+        return;
+    }
+    std::sort(waiting.begin(), waiting.end(), [](const auto &left, const auto &right) {
+        return left.first < right.first;
+    });
+    std::map<std::string, PoolRoom> rooms = gatherRoom(now);
+    for (const auto &[urgency, entry] : waiting) {
+        placeJob(*entry, rooms[entry->job.record().terms.pool], now);
+    }
+}
+
+void Scheduler::Impl::placeJob(JobEntry &entry, PoolRoom &room, BootTime now)
+{
+    entry.mayHaveReady = false;
+    const std::vector<Occurrence> &occurrences = entry.job.record().occurrences;
+    for (const Occurrence &occurrence : occurrences) {
+        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            if (entry.job.mayStart(occurrence, step)) {
+                placeStep(entry, occurrence, step, room, now);
+            }
+        }
+    }
+}
+
+PlacementRequest Scheduler::Impl::makeRequest(const JobEntry &entry, const Occurrence &occurrence, std::uint32_t step) const
+{
+    const StepSpec &spec = entry.job.record().spec.steps[step];
+    PlacementRequest request;
+    request.demand = spec.demand;
+    if (spec.fills) {
+        request.demand.cpu = 0;
+    }
+    request.requiredLabel = spec.requiredLabel;
+    request.lasting = spec.lasting;
+    request.fills = spec.fills;
+    request.serves = spec.tailTargetMs > 0;
+    request.perWorkerMax = spec.perWorkerMax;
+    if (!spec.dataRack.empty()) {
+        request.nearRacks.insert(spec.dataRack);
+    }
+    for (const Task &task : occurrence.steps[step]) {
+        const auto worker = workers.find(task.worker);
+        if (task.phase != TaskPhase::Placed || worker == workers.end()) {
+            continue;
+        }
+        ++request.siblingsByWorker[task.worker];
+        ++request.siblingsByRack[worker->second.facts().rack];
+        if (spec.sameRack && request.nearRacks.empty()) {
+            request.nearRacks.insert(worker->second.facts().rack);
+        }
+    }
+    return request;
+}
+
+bool Scheduler::Impl::isWithinCap(const JobEntry &entry, const Resources &demand) const
+{
+    const auto account = policy->accounts.find(entry.job.record().account);
+    if (account == policy->accounts.end()) {
+        return true;
+    }
+    const auto used = accountUsed.find(account->first);
+    const Resources sum = (used == accountUsed.end() ? Resources{} : used->second) + demand;
+    const Resources &cap = account->second.cap;
+    return (cap.cpu == 0 || sum.cpu <= cap.cpu) && (cap.memory == 0 || sum.memory <= cap.memory) && (cap.gpu == 0 || sum.gpu <= cap.gpu);
+}
+
+PlacementCandidate *Scheduler::Impl::choose(const PlacementRequest &request, PoolRoom &room, const StepAdvice *permissions, BootTime now)
+{
+    if (permissions == nullptr) {
+        return choosePlacement(request, room.open);
+    }
+    std::vector<PlacementCandidate *> permitted;
+    for (PlacementCandidate *candidate : room.open) {
+        const auto ticket = permissions->good.find(candidate->session->facts().id);
+        if (ticket != permissions->good.end() && now < ticket->second.usableUntil) {
+            permitted.push_back(candidate);
+        }
+    }
+    return choosePlacement(request, permitted);
+}
+
+void Scheduler::Impl::placeStep(JobEntry &entry, const Occurrence &occurrence, std::uint32_t step, PoolRoom &room, BootTime now)
+{
+    const std::vector<Task> &tasks = occurrence.steps[step];
+    const bool anyWaiting = std::any_of(tasks.begin(), tasks.end(), [](const Task &task) {
+        return task.phase == TaskPhase::Waiting;
+    });
+    if (!anyWaiting) {
+        return;
+    }
+    StepAdvice *permissions = adviceFor(entry, occurrence, step, room, now);
+    PlacementRequest request = makeRequest(entry, occurrence, step);
+    const StepSpec &spec = entry.job.record().spec.steps[step];
+    if (spec.gang) {
+        placeGang(entry, occurrence, step, std::move(request), room, now);
+        return;
+    }
+    // Conditions beside the room itself make a refusal say nothing about other tasks.
+    const bool plain = request.requiredLabel.empty() && request.perWorkerMax == 0 && permissions == nullptr && !request.lasting;
+    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+        if (tasks[index].phase != TaskPhase::Waiting) {
+            continue;
+        }
+        const TaskRef ref{occurrence.number, step, index};
+        const auto failedOn = entry.failedOn.find(ref);
+        request.failedOn = failedOn == entry.failedOn.end() ? std::set<WorkerId>{} : failedOn->second;
+        PlacementCandidate *chosen = nullptr;
+        if (isWithinCap(entry, spec.demand) && !(plain && anyFitsInto(room.refused, request.demand))) {
+            chosen = choose(request, room, permissions, now);
+            if (chosen == nullptr && plain) {
+                room.refused.push_back(request.demand);
+            }
+        }
+        if (chosen == nullptr) {
+            entry.mayHaveReady = true;
+            backlog[entry.job.record().terms.pool] += request.demand;
+            continue;
+        }
+        const WorkerFacts &facts = chosen->session->facts();
+        const std::string ticket = permissions == nullptr ? std::string() : permissions->good[facts.id].text;
+        const std::uint32_t run = entry.job.place(ref, facts.id);
+        commitPlacement(entry, ref, run, *chosen, ticket, now);
+        ++request.siblingsByWorker[facts.id];
+        ++request.siblingsByRack[facts.rack];
+        if (spec.sameRack && request.nearRacks.empty()) {
+            request.nearRacks.insert(facts.rack);
+        }
+    }
+}
+
+// All members of a gang or none, each where room is left after those before it.
+void Scheduler::Impl::placeGang(JobEntry &entry, const Occurrence &occurrence, std::uint32_t step, PlacementRequest request, PoolRoom &room, BootTime now)
+{
+    const std::vector<Task> &tasks = occurrence.steps[step];
+    const bool allWaiting = std::all_of(tasks.begin(), tasks.end(), [](const Task &task) {
+        return task.phase == TaskPhase::Waiting;
+    });
+    const StepSpec &spec = entry.job.record().spec.steps[step];
+    const auto count = static_cast<std::uint32_t>(tasks.size());
+    if (!allWaiting) {
+        return;
+    }
+    entry.mayHaveReady = true;
+    if (!isWithinCap(entry, spec.demand * count)) {
+        return;
+    }
+    // Tried on the sessions themselves and taken back, so that each member sees the room of the others.
+    std::vector<PlacementCandidate *> chosen;
+    for (std::uint32_t index = 0; index < count; ++index) {
+        PlacementCandidate *candidate = choosePlacement(request, room.open);
+        if (candidate == nullptr) {
+            break;
+        }
+        chosen.push_back(candidate);
+        LiveRun probe;
+        probe.demand = request.demand;
+        candidate->session->addRun({entry.job.record().id, {occurrence.number, step, index}}, probe);
+        ++request.siblingsByWorker[candidate->session->facts().id];
+        if (spec.sameRack && request.nearRacks.empty()) {
+            request.nearRacks.insert(candidate->session->facts().rack);
+        }
+    }
+    for (std::uint32_t index = 0; index < chosen.size(); ++index) {
+        chosen[index]->session->removeRun({entry.job.record().id, {occurrence.number, step, index}});
+    }
+    if (chosen.size() < count) {
+        backlog[entry.job.record().terms.pool] += request.demand * count;
+        return;
+    }
+    std::vector<WorkerId> ids;
+    for (const PlacementCandidate *candidate : chosen) {
+        ids.push_back(candidate->session->facts().id);
+    }
+    const std::uint32_t run = entry.job.placeGang(occurrence.number, step, ids);
+    for (std::uint32_t index = 0; index < count; ++index) {
+        commitPlacement(entry, {occurrence.number, step, index}, run, *chosen[index], {}, now);
+    }
+    entry.mayHaveReady = false;
+}
+
+void Scheduler::Impl::commitPlacement(
+    JobEntry &entry, const TaskRef &ref, std::uint32_t run, PlacementCandidate &candidate, const std::string &ticket, BootTime now)
+{
+    const bool readyLeft = entry.mayHaveReady;
+    markDirty(entry);
+    entry.mayHaveReady = readyLeft;
+    LiveRun live;
+    live.run = run;
+    live.batch = nextBatch;
+    live.since = now;
+    live.ticket = ticket;
+    const TaskName task{entry.job.record().id, ref};
+    addRun(*candidate.session, task, entry, std::move(live));
+    batchStarts[nextBatch].emplace_back(candidate.session->facts().id, task);
+    notice("task-placed", task, run, candidate.session->facts().id, candidate.session->facts().pool);
+}
+
+StepAdvice *Scheduler::Impl::adviceFor(JobEntry &entry, const Occurrence &occurrence, std::uint32_t step, PoolRoom &room, BootTime now)
+{
+    const auto queue = policy->queues.find(entry.job.record().queue);
+    if (queue == policy->queues.end() || !queue->second.advice) {
+        return nullptr;
+    }
+    StepAdvice &known = advice[{entry.job.record().id, {occurrence.number, step}}];
+    if (known.inFlight || adviceInFlight > 0 || now < known.askAgainAt) {
+        return &known;
+    }
+    AdviceOrder order{entry.job.record().id, occurrence.number, step, {}};
+    for (const PlacementCandidate *candidate : room.open) {
+        const WorkerId &worker = candidate->session->facts().id;
+        const auto ticket = known.good.find(worker);
+        const bool usable = ticket != known.good.end() && now < ticket->second.usableUntil;
+        if (!usable && known.refused.count(worker) == 0 && order.workers.size() < AdvisedWorkersMax) {
+            order.workers.push_back(worker);
+        }
+    }
+    if (!order.workers.empty()) {
+        known.inFlight = true;
+        ++adviceInFlight;
+        orders.emplace_back(std::move(order));
+    }
+    return &known;
+}
+
+void Scheduler::noteAdvice(const AdviceOrder &order, const std::vector<Permission> &permissions, BootTime now)
+{
+    Impl &impl = *m_impl;
+    impl.adviceInFlight -= impl.adviceInFlight > 0 ? 1 : 0;
+    impl.placingWanted = true;
+    const JobEntry *entry = impl.findEntry(order.job);
+    if (entry == nullptr || !entry->job.isOpen()) {
+        impl.advice.erase({order.job, {order.occurrence, order.step}});
+        return;
+    }
+    StepAdvice &known = impl.advice[{order.job, {order.occurrence, order.step}}];
+    known.inFlight = false;
+    const auto queue = impl.policy->queues.find(entry->job.record().queue);
+    if (permissions.empty() || queue == impl.policy->queues.end() || !queue->second.advice) {
+        known.askAgainAt = now + AdviceRetry;
+        return;
+    }
+    known.refused.insert(order.workers.begin(), order.workers.end());
+    for (const Permission &permission : permissions) {
+        known.refused.erase(permission.worker);
+        known.good[permission.worker] = {permission.ticket, now + queue->second.advice->validity - TicketMargin};
+    }
+}
+
+}
--- /dev/null
+++ b/libs/scheduling/src/schedulerresults.cpp
@@ -0,0 +1,335 @@
+#include "details/schedulerimpl.h"
+
+#include <algorithm>
+
+namespace Cornelquay {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// A worker that refused for want of room or health is left alone for a moment.
+constexpr auto RefusalPause = 400ms;
+
+}
+
+void Scheduler::Impl::addRun(WorkerSession &session, const TaskName &task, const JobEntry &entry, LiveRun run)
+{
+    const StepSpec &step = entry.job.step(task.ref);
+    run.demand = step.demand;
+    run.lasting = step.lasting;
+    run.fills = step.fills;
+    run.tailTargetMs = step.tailTargetMs;
+    if (step.fills) {
+        run.demand.cpu = 0;
+    }
+    accountUsed[entry.job.record().account] += step.demand;
+    session.addRun(task, std::move(run));
+}
+
+void Scheduler::Impl::removeRun(WorkerSession &session, const TaskName &task)
+{
+    if (session.runs().count(task) == 0) {
+        return;
+    }
+    if (const JobEntry *entry = findEntry(task.job)) {
+        accountUsed[entry->job.record().account] -= entry->job.step(task.ref).demand;
+    }
+    session.removeRun(task);
+    placingWanted = true;
+}
+
+void Scheduler::Impl::loseRun(WorkerSession &session, const TaskName &task, std::int64_t wallMs, std::string_view reason)
+{
+    const auto found = session.runs().find(task);
+    if (found == session.runs().end()) {
+        return;
+    }
+    const std::uint32_t run = found->second.run;
+    JobEntry *entry = findEntry(task.job);
+    removeRun(session, task);
+    notice("run-lost", task, run, session.facts().id, std::string(reason));
+    if (entry != nullptr && entry->job.lose(task.ref, run, wallMs) != EndOutcome::Ignored) {
+        refreshOutlook(*entry);
+        markDirty(*entry);
+    }
+}
+
+void Scheduler::Impl::loseAllRuns(WorkerSession &session, std::int64_t wallMs, std::string_view reason)
+{
+    std::vector<TaskName> tasks;
+    for (const auto &[task, run] : session.runs()) {
+        tasks.push_back(task);
+    }
+    for (const TaskName &task : tasks) {
+        loseRun(session, task, wallMs, reason);
+    }
+}
+
+void Scheduler::Impl::wantStop(WorkerSession &session, const TaskName &task, std::string_view reason)
+{
+    const auto found = session.runs().find(task);
+    if (found == session.runs().end() || found->second.stop != StopProgress::NotWanted) {
+        return;
+    }
+    found->second.stop = StopProgress::Due;
+    notice("stop-wanted", task, found->second.run, session.facts().id, std::string(reason));
+}
+
+// Whether one more lasting task of its step may be unavailable by the system's own action.
+bool Scheduler::Impl::mayTakeOut(const TaskName &task)
+{
+    JobEntry *entry = findEntry(task.job);
+    if (entry == nullptr || !entry->job.isOpen()) {
+        return true;
+    }
+    const StepSpec &step = entry->job.step(task.ref);
+    if (!step.lasting) {
+        return true;
+    }
+    const Occurrence *occurrence = entry->job.findOccurrence(task.ref.occurrence);
+    std::uint32_t away = 0;
+    for (std::uint32_t index = 0; occurrence != nullptr && index < occurrence->steps[task.ref.step].size(); ++index) {
+        if (index == task.ref.index) {
+            continue;
+        }
+        const Task &other = occurrence->steps[task.ref.step][index];
+        const auto worker = workers.find(other.worker);
+        bool atWork = false;
+        if (other.phase == TaskPhase::Placed && worker != workers.end() && worker->second.isReachable()) {
+            const auto run = worker->second.runs().find({task.job, {task.ref.occurrence, task.ref.step, index}});
+            atWork = run != worker->second.runs().end() && run->second.percent == 100 && run->second.stop == StopProgress::NotWanted;
+        }
+        away += atWork ? 0 : 1;
+    }
+    return away < step.outMax;
+}
+
+void Scheduler::noteHold(const HoldOrder &order, BootTime sentAt, const HoldResult &result, BootTime now, std::int64_t wallMs)
+{
+    Impl &impl = *m_impl;
+    const auto found = impl.workers.find(order.worker);
+    if (found == impl.workers.end()) {
+        return;
+    }
+    WorkerSession &session = found->second;
+    session.noteHoldEnded(order);
+    if (const Listing *listing = std::get_if<Listing>(&result)) {
+        impl.applyListing(session, order, sentAt, *listing, now, wallMs);
+        return;
+    }
+    if (const OrderRefusal *refusal = std::get_if<OrderRefusal>(&result)) {
+        if (*refusal == OrderRefusal::Fenced) {
+            // A hold that a raised token of our own overtook is refused too.
+            impl.deposed = impl.deposed || order.fencingToken >= session.token();
+            session.hasten(now);
+            return;
+        }
+        if (*refusal == OrderRefusal::OtherInstance) {
+            impl.loseAllRuns(session, wallMs, "other-instance");
+            session.setRegistered(false);
+        }
+    }
+    if (session.isReachable()) {
+        impl.notice("worker-unreachable", {}, 0, order.worker, std::to_string(session.runs().size()) + " runs");
+    }
+    session.noteUnreachable(now);
+}
+
+void Scheduler::Impl::applyListing(WorkerSession &session, const HoldOrder &order, BootTime sentAt, const Listing &listing, BootTime now, std::int64_t wallMs)
+{
+    if (!session.isReachable() || !session.isConfirmed()) {
+        notice("worker-reached", {}, 0, order.worker, "born " + std::to_string(listing.bornMs));
+        placingWanted = true;
+    }
+    session.noteListing(listing, order.fencingToken, now);
+    for (const ListedEnd &end : listing.ended) {
+        applyEnd(session, end, now, wallMs);
+    }
+    for (const ListedRun &run : listing.running) {
+        applyRunning(session, run, now);
+    }
+    applyAbsent(session, order, sentAt, listing, wallMs);
+    if (!listing.ended.empty()) {
+        session.deferAcknowledgement(listing.ended.back().number, gate(), now);
+        session.noteStored(storedBatch, now);
+    } else {
+        session.hasten(now);
+    }
+}
+
+void Scheduler::Impl::applyEnd(WorkerSession &session, const ListedEnd &end, BootTime now, std::int64_t wallMs)
+{
+    const auto live = session.runs().find(end.task);
+    if (live != session.runs().end() && live->second.run == end.run) {
+        removeRun(session, end.task);
+    }
+    JobEntry *entry = findEntry(end.task.job);
+    const Task *task = entry == nullptr ? nullptr : entry->job.findTask(end.task.ref);
+    if (task == nullptr) {
+        return;
+    }
+    const EndOutcome outcome = entry->job.end(end.task.ref, end.run, end.how, end.checkpoint, wallMs);
+    if (outcome == EndOutcome::Ignored) {
+        return;
+    }
+    if (end.how == RunEnd::Done) {
+        session.noteSuccess();
+    } else if (end.how == RunEnd::Failed && !entry->job.step(end.task.ref).lasting) {
+        session.noteFailure();
+        entry->failedOn[end.task.ref].insert(session.facts().id);
+    }
+    entry->waitsSince = now;
+    entry->job.markBegun();
+    refreshOutlook(*entry);
+    markDirty(*entry);
+    notice("run-ended", end.task, end.run, session.facts().id, std::string(toName(end.how)));
+    if (!entry->job.isOpen()) {
+        notice("job-closed", {end.task.job, {}}, 0, {}, std::string(toName(entry->job.record().state)));
+        closeRuns(*entry);
+    }
+}
+
+void Scheduler::Impl::applyRunning(WorkerSession &session, const ListedRun &listed, BootTime now)
+{
+    const auto found = session.runs().find(listed.task);
+    if (found == session.runs().end() || found->second.run != listed.run) {
+        // Nobody wants this run: its job was closed or its task placed anew.
+        StopOrder stop{session.facts().id, listed.task, listed.run, session.token()};
+        notice("stop-wanted", listed.task, listed.run, session.facts().id, "unknown run");
+        orders.emplace_back(std::move(stop));
+        return;
+    }
+    LiveRun &run = found->second;
+    if (run.start == StartProgress::Unanswered || run.start == StartProgress::InFlight) {
+        run.start = StartProgress::Accepted;
+        run.since = now;
+        run.percentAt = now;
+    }
+    if (listed.percent != run.percent) {
+        run.percentAt = now;
+    }
+    run.percent = listed.percent;
+    run.load = listed.load;
+    if (JobEntry *entry = findEntry(listed.task.job)) {
+        entry->job.markBegun();
+        entry->job.saveProgress(listed.task.ref, listed.run, listed.checkpoint);
+    }
+}
+
+void Scheduler::Impl::applyAbsent(WorkerSession &session, const HoldOrder &order, BootTime sentAt, const Listing &listing, std::int64_t wallMs)
+{
+    std::set<TaskName> present;
+    for (const ListedRun &run : listing.running) {
+        present.insert(run.task);
+    }
+    std::vector<TaskName> gone;
+    for (const auto &[task, run] : session.runs()) {
+        if (present.count(task) != 0) {
+            continue;
+        }
+        const bool vanished = run.start == StartProgress::Accepted && run.since < sentAt;
+        const bool neverStarted = run.start == StartProgress::Unanswered && order.fencingToken > run.startToken;
+        if (vanished || neverStarted) {
+            gone.push_back(task);
+        }
+    }
+    for (const TaskName &task : gone) {
+        loseRun(session, task, wallMs, "not listed");
+    }
+}
+
+void Scheduler::noteStart(const StartOrder &order, const OrderResult &result, BootTime now, std::int64_t wallMs)
+{
+    Impl &impl = *m_impl;
+    const auto found = impl.workers.find(order.worker);
+    if (found == impl.workers.end()) {
+        return;
+    }
+    WorkerSession &session = found->second;
+    const auto live = session.runs().find(order.task);
+    const bool current = live != session.runs().end() && live->second.run == order.run;
+    if (const OrderTaken *taken = std::get_if<OrderTaken>(&result)) {
+        session.noteClock(taken->clockMs, now);
+        if (current) {
+            live->second.start = StartProgress::Accepted;
+            live->second.since = now;
+            live->second.percentAt = now;
+            session.hasten(now);
+        }
+        JobEntry *entry = impl.findEntry(order.task.job);
+        if (entry != nullptr) {
+            entry->job.markBegun();
+        }
+        impl.notice("run-started", order.task, order.run, order.worker, "token " + std::to_string(order.fencingToken));
+        return;
+    }
+    const OrderRefusal *refusal = std::get_if<OrderRefusal>(&result);
+    if (refusal == nullptr) {
+        impl.notice("start-unanswered", order.task, order.run, order.worker, "token " + std::to_string(order.fencingToken));
+        if (current && live->second.start == StartProgress::InFlight) {
+            live->second.start = StartProgress::Unanswered;
+        }
+        if (session.token() == order.fencingToken) {
+            session.raiseToken();
+        }
+        session.hasten(now);
+        return;
+    }
+    impl.loseRun(session, order.task, wallMs, toName(*refusal));
+    switch (*refusal) {
+    case OrderRefusal::NotSent:
+        session.noteUnreachable(now);
+        break;
+    case OrderRefusal::OtherInstance:
+        impl.loseAllRuns(session, wallMs, "other-instance");
+        session.setRegistered(false);
+        session.noteUnreachable(now);
+        break;
+    case OrderRefusal::Unhealthy:
+        session.noteFailure();
+        session.avoidUntil(now + RefusalPause);
+        break;
+    case OrderRefusal::NoRoom:
+    case OrderRefusal::Ticket:
+    case OrderRefusal::Late:
+    case OrderRefusal::OldRun:
+    case OrderRefusal::Fenced:
+    case OrderRefusal::Invalid:
+        session.avoidUntil(now + RefusalPause);
+        session.hasten(now);
+        break;
+    }
+}
+
+void Scheduler::noteStop(const StopOrder &order, const OrderResult &result, BootTime now)
+{
+    Impl &impl = *m_impl;
+    const auto found = impl.workers.find(order.worker);
+    if (found == impl.workers.end()) {
+        return;
+    }
+    const auto live = found->second.runs().find(order.task);
+    if (live == found->second.runs().end() || live->second.run != order.run) {
+        return;
+    }
+    live->second.stop = std::holds_alternative<OrderTaken>(result) ? StopProgress::Accepted : StopProgress::Due;
+    live->second.stopSentAt = now;
+    found->second.hasten(now);
+}
+
+void Scheduler::notePace(const PaceOrder &order, const OrderResult &result, BootTime now)
+{
+    const auto found = m_impl->workers.find(order.worker);
+    if (found == m_impl->workers.end()) {
+        return;
+    }
+    const auto live = found->second.runs().find(order.task);
+    if (live != found->second.runs().end() && live->second.run == order.run && !std::holds_alternative<OrderTaken>(result)) {
+        // Whether it took effect is not known; the next decision orders it again.
+        live->second.pace = -1;
+    }
+    (void)now;
+}
+
+}
--- /dev/null
+++ b/libs/scheduling/src/schedulertime.cpp
@@ -0,0 +1,182 @@
+#include "details/schedulerimpl.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Cornelquay {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Placing is tried again this often while something waits and nothing changed: objectives pass with time.
+constexpr auto PlacingInterval = 100ms;
+constexpr auto HousekeepingInterval = 50ms;
+// Beyond the longest time that a stop may take, the order is taken for lost.
+constexpr auto StopMargin = 600ms;
+constexpr auto StopRetry = 300ms;
+// Jobs forgotten at once; the rest follow.
+constexpr std::size_t ForgottenMax = 100;
+
+}
+
+void Scheduler::advance(BootTime now, std::int64_t wallMs)
+{
+    Impl &impl = *m_impl;
+    if (now - impl.housekeptAt >= HousekeepingInterval) {
+        impl.housekeptAt = now;
+        impl.openDueOccurrences(wallMs);
+        impl.endLeases(now, wallMs);
+        impl.watchRuns(now);
+        impl.forgetClosed(wallMs);
+    }
+    if (impl.placingWanted || now - impl.placedAt >= PlacingInterval) {
+        impl.placeWaiting(now);
+    }
+}
+
+void Scheduler::Impl::openDueOccurrences(std::int64_t wallMs)
+{
+    for (auto &[id, entry] : jobs) {
+        bool opened = false;
+        for (std::optional<std::int64_t> due = entry.job.nextDueMs(); due && *due <= wallMs; due = entry.job.nextDueMs()) {
+            opened = entry.job.openOccurrence() || opened;
+        }
+        if (opened) {
+            refreshOutlook(entry);
+            markDirty(entry);
+        }
+    }
+}
+
+void Scheduler::Impl::endLeases(BootTime now, std::int64_t wallMs)
+{
+    for (auto worker = workers.begin(); worker != workers.end();) {
+        WorkerSession &session = worker->second;
+        if (session.isLeaseOver(now) && !session.runs().empty()) {
+            loseAllRuns(session, wallMs, "lease over");
+        }
+        // Without an address a worker that is known from records alone cannot be asked.
+        if (session.facts().address.empty() && session.isReachable()) {
+            session.noteUnreachable(now);
+        }
+        const bool forgotten = !session.isRegistered() && session.runs().empty() && !session.hasUnacknowledgedEnds();
+        worker = forgotten ? workers.erase(worker) : std::next(worker);
+    }
+}
+
+void Scheduler::Impl::watchRuns(BootTime now)
+{
+    for (auto &[id, session] : workers) {
+        const bool draining = session.facts().state == WorkerState::Draining;
+        for (auto &[task, run] : session.runs()) {
+            if (run.stop == StopProgress::Accepted && now - run.stopSentAt > times.stopGrace + StopMargin) {
+                run.stop = StopProgress::Due;
+            }
+            if (draining && run.lasting && run.start == StartProgress::Accepted) {
+                wantStop(session, task, "worker leaves");
+            }
+        }
+    }
+}
+
+void Scheduler::Impl::forgetClosed(std::int64_t wallMs)
+{
+    for (auto job = jobs.begin(); job != jobs.end() && droppedJobs.size() < ForgottenMax;) {
+        const JobRecord &record = job->second.job.record();
+        const bool over = record.closedMs != 0 && wallMs - record.closedMs > times.statusKept.count() && job->second.stored && !job->second.dirty;
+        if (over && !job->second.job.hasPlacedTasks()) {
+            droppedJobs.push_back(job->first);
+            job = jobs.erase(job);
+        } else {
+            ++job;
+        }
+    }
+}
+
+std::vector<Order> Scheduler::takeOrders(BootTime now, OrderScope scope)
+{
+    std::vector<Order> taken;
+    if (scope == OrderScope::All) {
+        m_impl->releaseStarts(now);
+        m_impl->releaseStops(now);
+        taken = std::exchange(m_impl->orders, {});
+    }
+    m_impl->releaseHolds(now, taken);
+    return taken;
+}
+
+void Scheduler::Impl::releaseStarts(BootTime now)
+{
+    std::vector<std::pair<WorkerId, TaskName>> waiting;
+    for (const auto &[worker, task] : std::exchange(dueStarts, {})) {
+        const auto found = workers.find(worker);
+        JobEntry *entry = findEntry(task.job);
+        if (found == workers.end() || entry == nullptr) {
+            continue;
+        }
+        WorkerSession &session = found->second;
+        const auto live = session.runs().find(task);
+        if (live == session.runs().end() || live->second.start != StartProgress::Due) {
+            continue;
+        }
+        const bool unusable = !session.isReachable() || !session.isRegistered() || session.facts().state != WorkerState::Ready;
+        if (!entry->job.isOpen() || live->second.stop != StopProgress::NotWanted || unusable || cordoned.count(worker) != 0) {
+            // Nothing was sent, so the run never existed.
+            loseRun(session, task, entry->job.record().closedMs, "not sent");
+            continue;
+        }
+        const std::optional<std::int64_t> lease = session.leaseUntil(now);
+        if (!session.isConfirmed() || !lease) {
+            waiting.emplace_back(worker, task);
+            continue;
+        }
+        LiveRun &run = live->second;
+        run.start = StartProgress::InFlight;
+        run.startToken = session.token();
+        session.noteLeaseExtension(now);
+        const Task *state = entry->job.findTask(task.ref);
+        orders.emplace_back(StartOrder{worker, task, run.run, *lease, run.startToken, state->checkpoint, run.ticket});
+    }
+    dueStarts.insert(dueStarts.end(), waiting.begin(), waiting.end());
+}
+
+void Scheduler::Impl::releaseStops(BootTime now)
+{
+    for (auto &[id, session] : workers) {
+        if (!session.isReachable()) {
+            continue;
+        }
+        for (auto &[task, run] : session.runs()) {
+            const bool sent = run.start == StartProgress::Accepted || run.start == StartProgress::Unanswered;
+            if (run.stop != StopProgress::Due || !sent || now - run.stopSentAt < StopRetry) {
+                continue;
+            }
+            const JobEntry *entry = findEntry(task.job);
+            // A close that is not stored yet may still be forgotten.
+            if (entry != nullptr && !entry->job.isOpen() && entry->batch > storedBatch) {
+                continue;
+            }
+            if (entry != nullptr && !entry->job.isOpen() && entry->dirty) {
+                continue;
+            }
+            run.stop = StopProgress::InFlight;
+            run.stopSentAt = now;
+            orders.emplace_back(StopOrder{id, task, run.run, session.token()});
+        }
+    }
+}
+
+void Scheduler::Impl::releaseHolds(BootTime now, std::vector<Order> &taken)
+{
+    for (auto &[id, session] : workers) {
+        if (session.facts().address.empty()) {
+            continue;
+        }
+        if (std::optional<HoldOrder> hold = session.nextHold(now)) {
+            taken.emplace_back(std::move(*hold));
+        }
+    }
+}
+
+}
--- a/libs/telemetry/src/log.cpp
+++ b/libs/telemetry/src/log.cpp
@@ -1,24 +1,37 @@
 #include "telemetry/log.h"
 
+#include <boost/core/null_deleter.hpp>
+#include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/drop_on_overflow.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
-#include <boost/log/utility/setup/common_attributes.hpp>
-#include <boost/log/utility/setup/console.hpp>
+#include <boost/make_shared.hpp>
 
 #include <nlohmann/json.hpp>
 
 #include <chrono>
 #include <ctime>
 #include <iostream>
+#include <utility>
 
 namespace Cornelquay {
 
 namespace {
 
+// Lines that may wait for the writing thread; beyond, new ones are dropped.
+constexpr std::size_t WaitingLinesMax = 4000;
+
+using Sink = boost::log::sinks::asynchronous_sink<boost::log::sinks::text_ostream_backend,
+                                                  boost::log::sinks::bounded_fifo_queue<WaitingLinesMax, boost::log::sinks::drop_on_overflow>>;
+
 struct LogState {
     LogFormat format = LogFormat::Text;
     std::string process = "cornelquay";
+    boost::shared_ptr<Sink> sink;
 };
 
 LogState &logState()
@@ -64,12 +77,26 @@
 
 }
 
-void initializeLog(LogFormat format, const std::string &process)
+void initializeLog(LogFormat format, const std::string &process, LogStream stream)
+{
+    logState().format = format;
+    logState().process = process;
+    auto backend = boost::make_shared<boost::log::sinks::text_ostream_backend>();
+    std::ostream &target = stream == LogStream::StandardOutput ? std::cout : std::cerr;
+    backend->add_stream(boost::shared_ptr<std::ostream>(&target, boost::null_deleter()));
+    backend->auto_flush(true);
+    logState().sink = boost::make_shared<Sink>(std::move(backend));
+    logState().sink->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
+    boost::log::core::get()->add_sink(logState().sink);
+}
+
+void finishLog()
 {
-    logState() = {format, process};
-    boost::log::add_console_log(std::cerr,
-                                boost::log::keywords::format = boost::log::expressions::stream << boost::log::expressions::smessage,
-                                boost::log::keywords::auto_flush = true);
+    if (const boost::shared_ptr<Sink> sink = std::exchange(logState().sink, nullptr)) {
+        boost::log::core::get()->remove_sink(sink);
+        sink->stop();
+        sink->flush();
+    }
 }
 
 void logChange(std::string_view component, std::string_view change, std::initializer_list<LogField> fields)
--- a/libs/timing/include/timing/instant.h
+++ b/libs/timing/include/timing/instant.h
@@ -11,6 +11,21 @@
 /** Monotonic time of this process; the form of every local deadline. */
 using SteadyTime = std::chrono::steady_clock::time_point;
 
+/**
+ * Monotonic time that also counts while the machine is suspended, in milliseconds. For leases and
+ * for what other processes do meanwhile; comparable only within one process.
+ */
+struct BootClock {
+    using duration = std::chrono::milliseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<BootClock>;
+    static constexpr bool is_steady = true;
+
+    static time_point now();
+};
+using BootTime = BootClock::time_point;
+
 WallTime wallNow();
 SteadyTime steadyNow();
 
--- a/libs/timing/src/instant.cpp
+++ b/libs/timing/src/instant.cpp
@@ -1,9 +1,18 @@
 #include "timing/instant.h"
 
+#include <ctime>
+
 #include <algorithm>
 
 namespace Cornelquay {
 
+BootTime BootClock::now()
+{
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return BootTime(std::chrono::duration_cast<duration>(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec)));
+}
+
 WallTime wallNow()
 {
     return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
--- a/tools/cornelquayd/main.cpp
+++ b/tools/cornelquayd/main.cpp
@@ -107,6 +107,7 @@
     std::cout << "{\"callers-port\":" << (*node)->callerPort() << ",\"operators-port\":" << (*node)->operatorPort() << "}" << std::endl;
     waitForSignal(signals);
     (*node)->stop();
+    finishLog();
     // A removed node ends with a failure, so that its supervisor starts a new incarnation.
     return removed ? ExitFailure : ExitSuccess;
 }
