Move idle machines to where work waits and carry out waves of maintenance

Ruled out: a reserve held in every pool; each queue asks for five times its mean in its turn. Change: pure plans for pools and waves; a keeper in the owner that lists machines, gives orders and stores how far a wave is; the platform's control plane behind one client.

--- a/libs/jobnode/include/jobnode/jobnode.h
+++ b/libs/jobnode/include/jobnode/jobnode.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jobnode/jobcall.h"
+#include "jobnode/machinekeeper.h"
 #include "jobnode/ownershipview.h"
 #include "jobnode/ports.h"
 #include "scheduling/scheduler.h"
@@ -26,6 +27,7 @@
     double cpuShare = 1.0;
     SchedulerTimes times;
     OwnershipTimes ownership;
+    MachineTimes machineTimes;
 };
 
 /**
@@ -34,7 +36,7 @@
  * thread.
  *
  * @code
- * JobNode node(io, settings, store, workers, registry, metrics);
+ * JobNode node(io, settings, store, workers, registry, machines, metrics);
  * node.start();
  * node.setConfiguration(configuration);
  * node.handle(call, [](JobAnswer answer) { ... });
@@ -45,7 +47,7 @@
 public:
     using Responder = std::function<void(JobAnswer answer)>;
 
-    JobNode(asio::io_context &io, JobNodeSettings settings, StorePort store, WorkerPort workers, RegistryPort registry, Metrics &metrics);
+    JobNode(asio::io_context &io, JobNodeSettings settings, StorePort store, WorkerPort workers, RegistryPort registry, MachinePort machines, Metrics &metrics);
     ~JobNode();
     JobNode(const JobNode &) = delete;
     JobNode &operator=(const JobNode &) = delete;
@@ -56,6 +58,8 @@
     void release(std::function<void()> onDone);
     void stop();
     void setConfiguration(std::shared_ptr<const NodeConfiguration> configuration);
+    /** A wave of maintenance that the operators ask for; repeats are ignored. */
+    void addWave(const WaveSpec &spec);
     void handle(const JobCall &call, Responder respond);
 
     // Queries.
--- a/libs/jobnode/include/jobnode/ports.h
+++ b/libs/jobnode/include/jobnode/ports.h
@@ -2,6 +2,7 @@
 
 #include "jobs/job.h"
 #include "scheduling/fleetpolicy.h"
+#include "scheduling/machines.h"
 #include "scheduling/orders.h"
 #include "transport/address.h"
 
@@ -57,9 +58,9 @@
     std::vector<OwnershipRecord> records;
 };
 
-/** One page of stored jobs; pages together are not a snapshot. */
+/** One page of stored records by key; pages together are not a snapshot. */
 struct JobPage {
-    std::vector<std::string> records;
+    std::vector<std::pair<std::string, std::string>> records;
     /** Where the next page begins; empty after the last one. */
     std::string next;
 };
@@ -118,6 +119,26 @@
     std::function<void()> stop;
 };
 
+/** One page of the machines' list. */
+struct MachinePage {
+    std::vector<MachineFacts> machines;
+    /** Names the next page; empty after the last one. */
+    std::string next;
+};
+
+/** The control plane of the machines. Handlers run on the node's thread. */
+struct MachinePort {
+    using ListHandler = std::function<void(std::optional<MachinePage> page)>;
+    using OrderHandler = std::function<void(MachineResult result)>;
+    using ReportHandler = std::function<void(bool stored)>;
+
+    std::function<void(const std::string &page, ListHandler handler)> list;
+    /** @p epoch fences owners: of two orders the one with the higher epoch is the later owner's. */
+    std::function<void(const MachineOrder &order, std::uint64_t epoch, OrderHandler handler)> order;
+    /** Tells the operators how far a wave is. */
+    std::function<void(std::uint64_t wave, bool completed, ReportHandler handler)> reportWave;
+};
+
 /** One path on which callers reach a queue. */
 struct QueueRoute {
     std::string host;
--- a/libs/jobnode/include/jobnode/reign.h
+++ b/libs/jobnode/include/jobnode/reign.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jobnode/jobcall.h"
+#include "jobnode/machinekeeper.h"
 #include "jobnode/ownershipview.h"
 #include "jobnode/ports.h"
 #include "scheduling/scheduler.h"
@@ -19,9 +20,11 @@
     StorePort &store;
     WorkerPort &workers;
     RegistryPort &registry;
+    MachinePort &machines;
     Metrics &metrics;
     SchedulerTimes times;
     OwnershipTimes ownership;
+    MachineTimes machineTimes;
 };
 
 /**
@@ -54,6 +57,7 @@
     /** Stops giving orders, stores what is decided, then calls @p onSettled, at the latest after a second. */
     void settle(std::function<void()> onSettled);
     void setPolicy(std::shared_ptr<const FleetPolicy> policy);
+    void addWave(const WaveSpec &spec, BootTime seenAt);
     /** The owner was heard in the store at a call sent at @p sentAt. */
     void noteFresh(BootTime sentAt);
     void handle(const JobCall &call, Responder respond);
--- a/libs/jobnode/src/jobnode.cpp
+++ b/libs/jobnode/src/jobnode.cpp
@@ -41,12 +41,14 @@
          StorePort givenStore,
          WorkerPort givenWorkers,
          RegistryPort givenRegistry,
+         MachinePort givenMachines,
          Metrics &givenMetrics)
         : io(givenIo)
         , settings(std::move(givenSettings))
         , store(std::move(givenStore))
         , workers(std::move(givenWorkers))
         , registry(std::move(givenRegistry))
+        , machines(std::move(givenMachines))
         , metrics(givenMetrics)
         , life(toUnixMilliseconds(wallNow()))
         , view(settings.ownership, claimDelayOf(settings))
@@ -63,6 +65,8 @@
     StorePort store;
     WorkerPort workers;
     RegistryPort registry;
+    MachinePort machines;
+    std::map<std::uint64_t, std::pair<WaveSpec, BootTime>> waves;
     Metrics &metrics;
     const std::int64_t life;
     OwnershipView view;
@@ -75,6 +79,8 @@
     std::shared_ptr<Reign> reign;
     std::shared_ptr<const NodeConfiguration> configuration;
     std::optional<PeerEndpoint> dialled;
+    /** The owner before this node's claim. */
+    std::optional<OwnershipRecord> predecessor;
     /** The latest epoch of this life that is over. */
     std::uint64_t endedEpoch = 0;
     bool claiming = false;
@@ -241,6 +247,7 @@
 void JobNode::Impl::claim()
 {
     claiming = true;
+    predecessor = view.owner();
     const std::uint64_t at = view.end();
     logChange("node", "claiming ownership", {{"offset", std::to_string(at)}});
     store.claimOwnership(ownRecord(), at, [self = shared_from_this(), at](const tl::expected<std::uint64_t, StoreFailure> &offset) {
@@ -258,13 +265,12 @@
 
 void JobNode::Impl::beginReign(std::uint64_t offset)
 {
-    const std::optional<OwnershipRecord> predecessor = view.owner();
     const std::uint64_t epoch = offset + 1;
     takeoversTotal.increment();
     owning.set(1);
     logChange("owner", "taking over", {{"epoch", std::to_string(epoch)}, {"predecessor", predecessor ? predecessor->node : ""}});
     const bool released = !predecessor || predecessor->released;
-    reign = std::make_shared<Reign>(ReignContext{io, store, workers, registry, metrics, settings.times, settings.ownership},
+    reign = std::make_shared<Reign>(ReignContext{io, store, workers, registry, machines, metrics, settings.times, settings.ownership, settings.machineTimes},
                                     epoch,
                                     released,
                                     [weak = weak_from_this()](const std::string &reason) {
@@ -272,6 +278,9 @@
                                             self->endReign(reason);
                                         }
                                     });
+    for (const auto &[number, wave] : waves) {
+        reign->addWave(wave.first, wave.second);
+    }
     reign->begin(configuration->policy);
     heartbeat();
 }
@@ -370,8 +379,9 @@
               });
 }
 
-JobNode::JobNode(asio::io_context &io, JobNodeSettings settings, StorePort store, WorkerPort workers, RegistryPort registry, Metrics &metrics)
-    : m_impl(std::make_shared<Impl>(io, std::move(settings), std::move(store), std::move(workers), std::move(registry), metrics))
+JobNode::JobNode(
+    asio::io_context &io, JobNodeSettings settings, StorePort store, WorkerPort workers, RegistryPort registry, MachinePort machines, Metrics &metrics)
+    : m_impl(std::make_shared<Impl>(io, std::move(settings), std::move(store), std::move(workers), std::move(registry), std::move(machines), metrics))
 {
     m_impl->build();
 }
@@ -433,6 +443,14 @@
     m_impl->claimIfDue();
 }
 
+void JobNode::addWave(const WaveSpec &spec)
+{
+    const auto [wave, added] = m_impl->waves.try_emplace(spec.number, spec, BootClock::now());
+    if (added && m_impl->reign) {
+        m_impl->reign->addWave(spec, wave->second.second);
+    }
+}
+
 void JobNode::handle(const JobCall &call, Responder respond)
 {
     m_impl->handle(call, respond);
--- /dev/null
+++ b/libs/jobnode/src/machinekeeper.cpp
@@ -0,0 +1,278 @@
+#include "jobnode/machinekeeper.h"
+
+#include "telemetry/log.h"
+
+#include <algorithm>
+
+namespace Cornelquay {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto DecideInterval = 100ms;
+constexpr auto ListInterval = 700ms;
+// A list older than this is no ground for an order.
+constexpr auto ListAgeMost = 2500ms;
+// Until the list shows what an order did.
+constexpr auto OrderShows = 2300ms;
+
+}
+
+MachineKeeper::MachineKeeper(MachinePort &port, Scheduler &scheduler, MachineTimes times, std::uint64_t epoch, BootTime actsFrom, Metrics &metrics)
+    : m_port(port)
+    , m_scheduler(scheduler)
+    , m_times(times)
+    , m_epoch(epoch)
+    , m_actsFrom(actsFrom)
+    , m_movesTotal(metrics.counter("machine_moves_total", "Moves of machines between pools"))
+    , m_maintenanceTotal(metrics.counter("machine_maintenance_total", "Maintenance of machines begun"))
+    , m_pools(times.pools)
+{
+}
+
+void MachineKeeper::addWave(const WaveSpec &spec, BootTime seenAt)
+{
+    const auto [wave, added] = m_waves.try_emplace(spec.number, spec, m_times.waves, seenAt);
+    if (!added) {
+        return;
+    }
+    const auto restored = m_restored.find(spec.number);
+    if (restored != m_restored.end()) {
+        wave->second.restore(restored->second);
+    }
+    logChange("machines",
+              "wave",
+              {{"wave", std::to_string(spec.number)}, {"machines", std::to_string(spec.machines.size())}, {"out-most", std::to_string(spec.outMax)}});
+    if (!wave->second.isCompleted()) {
+        reportWave(spec.number, false);
+    }
+}
+
+void MachineKeeper::restore(const WaveRecord &record)
+{
+    m_restored[record.number] = record;
+}
+
+void MachineKeeper::end()
+{
+    m_ended = true;
+}
+
+std::vector<WaveRecord> MachineKeeper::takeChanged()
+{
+    std::vector<WaveRecord> records;
+    for (const std::uint64_t number : m_changed) {
+        records.push_back(m_waves.at(number).record());
+    }
+    m_changed.clear();
+    return records;
+}
+
+void MachineKeeper::advance(BootTime now, const FleetPolicy &policy, bool mayAct)
+{
+    if (m_ended || now - m_decidedAt < DecideInterval) {
+        return;
+    }
+    m_decidedAt = now;
+    refresh(now);
+    if (m_machines.empty() || now - m_listedAt > ListAgeMost) {
+        return;
+    }
+    const bool acts = mayAct && now >= m_actsFrom;
+    std::map<MachineId, MachineView> views = viewMachines(now);
+    std::vector<WorkerId> cordoned;
+    std::swap(m_cordoned, cordoned);
+    if (acts) {
+        decideWaves(views, now);
+        // What a wave has just ordered is not moved.
+        views = viewMachines(now);
+        decidePools(views, policy, now);
+    }
+    if (cordoned != m_cordoned) {
+        m_scheduler.setCordoned(m_cordoned);
+    }
+}
+
+void MachineKeeper::refresh(BootTime now)
+{
+    if (m_listing || now - m_listedAt < ListInterval) {
+        return;
+    }
+    m_listing = true;
+    m_reading.clear();
+    readPage({});
+}
+
+void MachineKeeper::readPage(const std::string &token)
+{
+    m_port.list(token, [self = shared_from_this()](const std::optional<MachinePage> &page) {
+        if (self->m_ended) {
+            return;
+        }
+        if (!page) {
+            self->m_listing = false;
+            return;
+        }
+        for (const MachineFacts &facts : page->machines) {
+            self->m_reading.insert_or_assign(facts.id, facts);
+        }
+        if (!page->next.empty()) {
+            self->readPage(page->next);
+            return;
+        }
+        self->m_machines = std::exchange(self->m_reading, {});
+        self->m_listedAt = BootClock::now();
+        self->m_listing = false;
+    });
+}
+
+std::map<MachineId, MachineView> MachineKeeper::viewMachines(BootTime now) const
+{
+    std::map<MachineId, MachineView> views;
+    for (const auto &[id, facts] : m_machines) {
+        MachineView view;
+        view.facts = facts;
+        const auto ordered = m_orderedAt.find(id);
+        view.ordered = m_inFlight.count(id) != 0 || (ordered != m_orderedAt.end() && now - ordered->second < OrderShows);
+        if (const WorkerSession *worker = facts.worker.empty() ? nullptr : m_scheduler.findWorker(facts.worker)) {
+            view.usable = worker->isRegistered() && worker->isReachable() && worker->facts().state == WorkerState::Ready;
+            view.runs = worker->runs().size();
+            view.lasting = static_cast<std::size_t>(std::count_if(worker->runs().begin(), worker->runs().end(), [](const auto &item) {
+                return item.second.lasting;
+            }));
+        }
+        views.emplace(id, std::move(view));
+    }
+    return views;
+}
+
+void MachineKeeper::decideWaves(const std::map<MachineId, MachineView> &views, BootTime now)
+{
+    std::map<std::string, Resources> backlog;
+    for (const auto &[id, view] : views) {
+        backlog.try_emplace(view.facts.pool, m_scheduler.backlogOf(view.facts.pool));
+    }
+    for (auto &[number, wave] : m_waves) {
+        if (wave.isCompleted()) {
+            continue;
+        }
+        const WaveDecision decision = wave.decide(views, backlog, now);
+        for (const MachineId &machine : decision.cordon) {
+            m_cordoned.push_back(views.at(machine).facts.worker);
+        }
+        // Nothing may be placed on a machine between the decision and its order.
+        m_scheduler.setCordoned(m_cordoned);
+        for (const MachineId &machine : decision.evacuate) {
+            m_scheduler.evacuate(views.at(machine).facts.worker, now);
+        }
+        for (const MaintainMachine &order : decision.maintain) {
+            give(order, now);
+        }
+        if (decision.completed && m_reported.count(number) == 0) {
+            m_reported.insert(number);
+            reportWave(number, true);
+        }
+    }
+}
+
+void MachineKeeper::decidePools(const std::map<MachineId, MachineView> &views, const FleetPolicy &policy, BootTime now)
+{
+    std::map<std::string, PoolDemand> pools;
+    for (const auto &[name, pool] : policy.pools) {
+        PoolDemand demand;
+        demand.standby = pool.standby;
+        demand.backlog = m_scheduler.backlogOf(name);
+        pools.emplace(name, demand);
+    }
+    const std::set<WorkerId> cordoned(m_cordoned.begin(), m_cordoned.end());
+    std::map<MachineId, MachineView> free = views;
+    for (auto &[id, view] : free) {
+        // A machine that a wave is about to take is neither idle nor a help.
+        view.ordered = view.ordered || (!view.facts.worker.empty() && cordoned.count(view.facts.worker) != 0);
+    }
+    for (const MoveMachine &move : m_pools.decide(free, pools, now)) {
+        const WorkerId &worker = views.at(move.machine).facts.worker;
+        if (!worker.empty()) {
+            m_cordoned.push_back(worker);
+        }
+        m_scheduler.setCordoned(m_cordoned);
+        give(move, now);
+    }
+}
+
+void MachineKeeper::give(const MachineOrder &order, BootTime now)
+{
+    const MachineId &machine = std::visit(
+        [](const auto &given) -> const MachineId & {
+            return given.machine;
+        },
+        order);
+    const WorkerId worker = m_machines.at(machine).worker;
+    m_inFlight.insert(machine);
+    m_orderedAt[machine] = now;
+    m_port.order(order, m_epoch, [self = shared_from_this(), order, worker](const MachineResult &result) {
+        if (!self->m_ended) {
+            self->noteResult(order, worker, result);
+        }
+    });
+}
+
+void MachineKeeper::noteResult(const MachineOrder &order, const WorkerId &worker, const MachineResult &result)
+{
+    const BootTime now = BootClock::now();
+    const MoveMachine *move = std::get_if<MoveMachine>(&order);
+    const MaintainMachine *maintain = std::get_if<MaintainMachine>(&order);
+    const MachineId &machine = move != nullptr ? move->machine : maintain->machine;
+    m_inFlight.erase(machine);
+    m_orderedAt[machine] = now;
+    const bool taken = std::holds_alternative<MachineOrderTaken>(result);
+    const MachineRefusal *refusal = std::get_if<MachineRefusal>(&result);
+    logChange("machines",
+              move != nullptr ? "move" : "maintain",
+              {{"machine", machine},
+               {"worker", worker},
+               {"target", move != nullptr ? move->pool : std::to_string(maintain->wave)},
+               {"result", taken ? "taken" : refusal != nullptr ? std::string(toName(*refusal)) : "unanswered"}});
+    if (!taken) {
+        // Unanswered orders are repeated once the list was read again; they have no effect twice.
+        if (move != nullptr && refusal != nullptr && *refusal == MachineRefusal::Invalid) {
+            m_pools.noteInvalid(*move);
+        }
+        m_orderedAt[machine] = now - OrderShows + ListInterval;
+        return;
+    }
+    if (move != nullptr) {
+        m_movesTotal.increment();
+    } else {
+        m_maintenanceTotal.increment();
+        const auto wave = m_waves.find(maintain->wave);
+        if (wave != m_waves.end()) {
+            wave->second.noteDone(machine, now);
+            m_changed.insert(maintain->wave);
+        }
+    }
+    if (!worker.empty()) {
+        m_scheduler.workerEnded(worker, toUnixMilliseconds(wallNow()));
+    }
+}
+
+void MachineKeeper::reportWave(std::uint64_t number, bool completed)
+{
+    m_port.reportWave(number, completed, [self = shared_from_this(), number, completed](bool stored) {
+        if (self->m_ended) {
+            return;
+        }
+        logChange("machines",
+                  "wave reported",
+                  {{"wave", std::to_string(number)}, {"state", completed ? "completed" : "running"}, {"stored", stored ? "true" : "false"}});
+        if (!stored) {
+            self->m_reported.erase(number);
+        } else if (completed) {
+            self->m_waves.at(number).noteCompleted();
+            self->m_changed.insert(number);
+        }
+    });
+}
+
+}
--- a/libs/jobnode/src/reign.cpp
+++ b/libs/jobnode/src/reign.cpp
@@ -1,6 +1,7 @@
 #include "jobnode/reign.h"
 
 #include "jobs/jobcodec.h"
+#include "records/packing.h"
 #include "telemetry/log.h"
 
 #include <asio.hpp>
@@ -30,6 +31,9 @@
 constexpr std::int64_t AnswerMarginMs = 150;
 constexpr auto SettleMost = 1000ms;
 
+// Records of waves lie beside those of jobs, whose names hold no such sign.
+constexpr const char *WaveKeyPrefix = "wave/";
+
 /** A call whose answer waits for a batch to be stored. */
 struct WaitingAnswer {
     std::uint64_t batch = 0;
@@ -75,6 +79,7 @@
     const bool predecessorReleased;
     std::function<void(std::string)> onDeposed;
     Scheduler scheduler;
+    std::shared_ptr<MachineKeeper> machines;
     asio::steady_timer timer;
     asio::steady_timer retryTimer;
     Counter batchesTotal;
@@ -100,10 +105,12 @@
     BootTime storeWaitsSince{};
     std::deque<WaitingAnswer> answers;
     std::size_t restored = 0;
+    std::vector<std::pair<WaveSpec, BootTime>> waves;
 
     // Takeover.
     void fence();
     void readPage(const std::string &after);
+    void restore(const std::string &key, const std::string &bytes, BootTime now, std::int64_t wallMs);
     void serve();
     void retry(std::chrono::milliseconds delay, std::function<void()> action);
     void depose(std::string reason);
@@ -176,13 +183,8 @@
         }
         const BootTime now = BootClock::now();
         const std::int64_t wallMs = toUnixMilliseconds(wallNow());
-        for (const std::string &bytes : page->records) {
-            if (std::optional<JobRecord> record = decodeJob(bytes)) {
-                self->scheduler.restore(std::move(*record), now, wallMs);
-                ++self->restored;
-            } else {
-                logChange("owner", "unreadable job record", {{"bytes", text(bytes.size())}});
-            }
+        for (const auto &[key, bytes] : page->records) {
+            self->restore(key, bytes, now, wallMs);
         }
         if (page->next.empty()) {
             self->serve();
@@ -192,12 +194,30 @@
     });
 }
 
+void Reign::Impl::restore(const std::string &key, const std::string &bytes, BootTime now, std::int64_t wallMs)
+{
+    if (key.rfind(WaveKeyPrefix, 0) == 0) {
+        if (const std::optional<WaveRecord> record = Packing::fromBytes<WaveRecord>(bytes)) {
+            machines->restore(*record);
+            return;
+        }
+    } else if (std::optional<JobRecord> record = decodeJob(bytes)) {
+        scheduler.restore(std::move(*record), now, wallMs);
+        ++restored;
+        return;
+    }
+    logChange("owner", "unreadable record", {{"key", key}, {"bytes", text(bytes.size())}});
+}
+
 void Reign::Impl::serve()
 {
     if (predecessorReleased) {
         scheduler.notePredecessorGone();
     }
     scheduler.setPolicy(policy);
+    for (const auto &[wave, seenAt] : waves) {
+        machines->addWave(wave, seenAt);
+    }
     serving = true;
     logChange("owner", "serving", {{"epoch", text(epoch)}, {"jobs", text(restored)}, {"configuration", text(policy->version)}});
     context.registry.watch([self = shared_from_this()](const std::vector<WorkerFacts> &seen, const std::vector<WorkerId> &removed) {
@@ -239,6 +259,9 @@
     timer.cancel();
     retryTimer.cancel();
     context.registry.stop();
+    if (machines) {
+        machines->end();
+    }
     for (const WaitingAnswer &waiting : std::exchange(answers, {})) {
         waiting.respond(JobAnswer::unknown("the owner of the jobs changed"));
     }
@@ -277,6 +300,7 @@
     const BootTime now = BootClock::now();
     if (!settling) {
         scheduler.advance(now, toUnixMilliseconds(wallNow()));
+        machines->advance(now, *policy, now - freshAt < context.ownership.orderFreshness);
     }
     storeNext(now);
     executeOrders(now);
@@ -306,6 +330,9 @@
         return;
     }
     RecordBatch batch = scheduler.takeBatch();
+    for (const WaveRecord &wave : machines->takeChanged()) {
+        batch.records.emplace_back(WaveKeyPrefix + text(wave.number), Packing::toBytes(wave));
+    }
     if (batch.isEmpty()) {
         return;
     }
@@ -593,8 +620,14 @@
 void Reign::begin(std::shared_ptr<const FleetPolicy> policy)
 {
     m_impl->policy = std::move(policy);
-    m_impl->freshAt = BootClock::now();
-    m_impl->fence();
+    Impl &impl = *m_impl;
+    const BootTime now = BootClock::now();
+    impl.freshAt = now;
+    // The first owner of all follows nobody.
+    const BootTime actsFrom = impl.epoch == 1 ? now : now + impl.context.machineTimes.handOver;
+    impl.machines
+        = std::make_shared<MachineKeeper>(impl.context.machines, impl.scheduler, impl.context.machineTimes, impl.epoch, actsFrom, impl.context.metrics);
+    impl.fence();
 }
 
 void Reign::end()
@@ -624,6 +657,15 @@
     }
 }
 
+void Reign::addWave(const WaveSpec &spec, BootTime seenAt)
+{
+    if (m_impl->serving) {
+        m_impl->machines->addWave(spec, seenAt);
+    } else {
+        m_impl->waves.emplace_back(spec, seenAt);
+    }
+}
+
 void Reign::noteFresh(BootTime sentAt)
 {
     m_impl->freshAt = std::max(m_impl->freshAt, sentAt);
--- /dev/null
+++ b/libs/scheduling/src/waveplan.cpp
@@ -0,0 +1,145 @@
+#include "scheduling/waveplan.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace Cornelquay {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// A machine may be out a little longer than its maintenance takes.
+constexpr auto OutMargin = 800ms;
+// Most of a pool that is emptied at once, as one in so many machines.
+constexpr std::size_t PoolPart = 3;
+
+constexpr std::array<std::string_view, 5> RefusalNames = {"fenced", "busy", "other-wave", "invalid", "later"};
+
+}
+
+std::string_view toName(MachineRefusal refusal)
+{
+    return RefusalNames.at(static_cast<std::size_t>(refusal));
+}
+
+WavePlan::WavePlan(WaveSpec spec, WaveTimes times, BootTime seenAt)
+    : m_spec(std::move(spec))
+    , m_times(times)
+    , m_endsAt(seenAt + m_spec.duration)
+{
+}
+
+void WavePlan::restore(const WaveRecord &record)
+{
+    m_done.insert(record.done.begin(), record.done.end());
+    m_completed = m_completed || record.completed;
+}
+
+void WavePlan::noteDone(const MachineId &machine, BootTime now)
+{
+    m_done.insert(machine);
+    m_doneAt[machine] = now;
+    m_emptying.erase(machine);
+}
+
+void WavePlan::noteCompleted()
+{
+    m_completed = true;
+}
+
+const WaveSpec &WavePlan::spec() const
+{
+    return m_spec;
+}
+
+WaveRecord WavePlan::record() const
+{
+    return {m_spec.number, {m_done.begin(), m_done.end()}, m_completed};
+}
+
+bool WavePlan::isCompleted() const
+{
+    return m_completed;
+}
+
+bool WavePlan::isOut(const MachineId &machine, const MachineView &view, BootTime now) const
+{
+    const auto done = m_doneAt.find(machine);
+    const bool justDone = done != m_doneAt.end() && now - done->second < m_times.maintenance + OutMargin;
+    return justDone || view.facts.state == MachineState::Maintenance || view.ordered;
+}
+
+std::size_t WavePlan::wantedAtOnce(std::size_t left, BootTime now) const
+{
+    const auto timeLeft = std::max<std::chrono::milliseconds>(500ms, m_endsAt - now - m_times.forceBefore);
+    const auto each = m_times.maintenance + m_times.emptying;
+    const double wanted = std::ceil(static_cast<double>(left) * static_cast<double>(each.count()) / static_cast<double>(timeLeft.count()));
+    return std::clamp<std::size_t>(static_cast<std::size_t>(wanted), 1, m_spec.outMax);
+}
+
+WaveDecision WavePlan::decide(const std::map<MachineId, MachineView> &machines, const std::map<std::string, Resources> &backlog, BootTime now)
+{
+    WaveDecision decision;
+    std::size_t out = 0;
+    std::vector<const MachineView *> left;
+    std::map<std::string, std::size_t> poolSizes;
+    for (const auto &[id, view] : machines) {
+        ++poolSizes[view.facts.pool];
+    }
+    for (const MachineId &id : m_spec.machines) {
+        const auto found = machines.find(id);
+        if (found == machines.end()) {
+            // It has left for good.
+            continue;
+        }
+        out += isOut(id, found->second, now) ? 1 : 0;
+        if (m_done.count(id) == 0) {
+            left.push_back(&found->second);
+        }
+    }
+    if (left.empty()) {
+        decision.completed = true;
+        return decision;
+    }
+    const bool force = now > m_endsAt - m_times.forceBefore;
+    std::sort(left.begin(), left.end(), [&](const MachineView *a, const MachineView *b) {
+        const auto key = [&](const MachineView *view) {
+            const auto waiting = backlog.find(view->facts.pool);
+            const bool busyPool = waiting != backlog.end() && waiting->second.cpu > 0;
+            return std::tuple(m_emptying.count(view->facts.id) == 0, busyPool, view->lasting, view->runs, view->facts.id);
+        };
+        return key(a) < key(b);
+    });
+    std::map<std::string, std::size_t> emptyingByPool;
+    std::set<MachineId> emptying;
+    const std::size_t wanted = wantedAtOnce(left.size(), now);
+    for (const MachineView *view : left) {
+        const MachineId &id = view->facts.id;
+        if (view->facts.state != MachineState::Up || view->ordered) {
+            continue;
+        }
+        const bool ready = view->runs == 0 || (force && view->lasting == 0);
+        if (ready && out < m_spec.outMax) {
+            decision.maintain.push_back({id, m_spec.number});
+            decision.cordon.push_back(id);
+            ++out;
+            continue;
+        }
+        std::size_t &poolPart = emptyingByPool[view->facts.pool];
+        const std::size_t poolMost = std::max<std::size_t>(1, poolSizes[view->facts.pool] / PoolPart);
+        if (emptying.size() + out < wanted && poolPart < poolMost) {
+            ++poolPart;
+            emptying.insert(id);
+            decision.cordon.push_back(id);
+            if (view->lasting > 0) {
+                decision.evacuate.push_back(id);
+            }
+        }
+    }
+    m_emptying = std::move(emptying);
+    return decision;
+}
+
+}
