Do not take runs for ended because an order for their machine was taken

Ruled out: a lease that was over (2.4 s after the start), another instance at the address. Change: such a worker only gets no more work until it is seen again.

--- a/libs/jobnode/src/machinekeeper.cpp
+++ b/libs/jobnode/src/machinekeeper.cpp
@@ -253,7 +253,7 @@
         }
     }
     if (!worker.empty()) {
-        m_scheduler.workerEnded(worker, toUnixMilliseconds(wallNow()));
+        m_scheduler.workerWithdrawn(worker, now);
     }
 }
 
--- a/libs/scheduling/include/scheduling/scheduler.h
+++ b/libs/scheduling/include/scheduling/scheduler.h
@@ -126,8 +126,11 @@
     void workerRemoved(const WorkerId &worker);
     /** No new work for these workers, which are about to be taken away; replaces the former set. */
     void setCordoned(std::vector<WorkerId> workers);
-    /** The worker's machine was ended by an order: nothing runs there any more. */
-    void workerEnded(const WorkerId &worker, std::int64_t wallMs);
+    /**
+     * An order for the worker's machine was taken, which as a rule ends the worker. It gets no work until
+     * it is seen again. What ran there is not taken for ended: a repeated order is taken without effect.
+     */
+    void workerWithdrawn(const WorkerId &worker, BootTime now);
     /** Asks for the end of runs on a worker that is to be taken away, as far as their budgets allow. */
     void evacuate(const WorkerId &worker, BootTime now);
 
--- a/libs/scheduling/src/scheduler.cpp
+++ b/libs/scheduling/src/scheduler.cpp
@@ -165,12 +165,12 @@
     m_impl->placingWanted = true;
 }
 
-void Scheduler::workerEnded(const WorkerId &worker, std::int64_t wallMs)
+void Scheduler::workerWithdrawn(const WorkerId &worker, BootTime now)
 {
     const auto found = m_impl->workers.find(worker);
     if (found != m_impl->workers.end()) {
-        m_impl->loseAllRuns(found->second, wallMs, "machine-ended");
         found->second.setRegistered(false);
+        found->second.hasten(now);
     }
 }
 
