Give each pool its part of the machines and empty busy ones for others

Cause: under a hot account one pool kept 33 half-used machines while another had four and the work of 80 waiting; only idle machines moved. Ruled out: a cap of the account (used 358 of 782 cores). Change: pools want what runs and waits; busy machines of a pool with a surplus take no new work. A line a second says what bounds each pool and account.

--- a/libs/jobnode/src/machinekeeper.cpp
+++ b/libs/jobnode/src/machinekeeper.cpp
@@ -16,6 +16,17 @@
 constexpr auto ListAgeMost = 2500ms;
 // Until the list shows what an order did.
 constexpr auto OrderShows = 2300ms;
+// Of a run that has not shown any progress yet.
+constexpr auto UnknownRemaining = 1500ms;
+
+std::chrono::milliseconds remainingOf(const LiveRun &run, BootTime now)
+{
+    if (run.percent <= 0 || run.percentAt <= run.since) {
+        return UnknownRemaining;
+    }
+    const auto whole = (run.percentAt - run.since) * 100 / run.percent;
+    return std::max<std::chrono::milliseconds>(0ms, run.since + whole - now);
+}
 
 }
 
@@ -138,9 +149,13 @@
         if (const WorkerSession *worker = facts.worker.empty() ? nullptr : m_scheduler.findWorker(facts.worker)) {
             view.usable = worker->isRegistered() && worker->isReachable() && worker->facts().state == WorkerState::Ready;
             view.runs = worker->runs().size();
-            view.lasting = static_cast<std::size_t>(std::count_if(worker->runs().begin(), worker->runs().end(), [](const auto &item) {
-                return item.second.lasting;
-            }));
+            for (const auto &[task, run] : worker->runs()) {
+                if (run.lasting) {
+                    ++view.lasting;
+                } else {
+                    view.emptyIn = std::max(view.emptyIn, remainingOf(run, now));
+                }
+            }
         }
         views.emplace(id, std::move(view));
     }
@@ -185,13 +200,22 @@
         demand.backlog = m_scheduler.backlogOf(name);
         pools.emplace(name, demand);
     }
+    for (const auto &[name, counts] : m_scheduler.poolCounts(now)) {
+        if (const auto pool = pools.find(name); pool != pools.end()) {
+            pool->second.used = counts.used;
+        }
+    }
     const std::set<WorkerId> cordoned(m_cordoned.begin(), m_cordoned.end());
     std::map<MachineId, MachineView> free = views;
     for (auto &[id, view] : free) {
         // A machine that a wave is about to take is neither idle nor a help.
         view.ordered = view.ordered || (!view.facts.worker.empty() && cordoned.count(view.facts.worker) != 0);
     }
-    for (const MoveMachine &move : m_pools.decide(free, pools, now)) {
+    const PoolDecision decision = m_pools.decide(free, pools, now);
+    for (const MachineId &machine : decision.cordon) {
+        m_cordoned.push_back(views.at(machine).facts.worker);
+    }
+    for (const MoveMachine &move : decision.moves) {
         const WorkerId &worker = views.at(move.machine).facts.worker;
         if (!worker.empty()) {
             m_cordoned.push_back(worker);
--- a/libs/jobnode/src/reign.cpp
+++ b/libs/jobnode/src/reign.cpp
@@ -130,6 +130,8 @@
     void execute(const HoldOrder &order);
     void execute(const AdviceOrder &order);
     void logNotices();
+    /** What bounds the work at the moment; the ground of the placements of the next second. */
+    void logPools(BootTime now);
     void expireAnswers();
     bool isStoreAway(BootTime now) const;
 
@@ -308,6 +310,7 @@
     expireAnswers();
     if (now - countedAt > 1s) {
         countedAt = now;
+        logPools(now);
         const SchedulerCounts counts = scheduler.counts();
         openJobs.set(static_cast<double>(counts.openJobs));
         liveRuns.set(static_cast<double>(counts.runs));
@@ -506,6 +509,31 @@
     }
 }
 
+void Reign::Impl::logPools(BootTime now)
+{
+    for (const auto &[pool, counts] : scheduler.poolCounts(now)) {
+        logChange("owner",
+                  "pool",
+                  {{"pool", pool},
+                   {"workers", text(counts.workers)},
+                   {"usable", text(counts.usable)},
+                   {"capacity-cpu", std::to_string(counts.capacity.cpu)},
+                   {"used-cpu", std::to_string(counts.used.cpu)},
+                   {"used-memory", std::to_string(counts.used.memory)},
+                   {"backlog-cpu", std::to_string(counts.backlog.cpu)},
+                   {"waiting-jobs", text(counts.waitingJobs)},
+                   {"late-jobs", text(counts.lateJobs)}});
+    }
+    for (const auto &[account, used] : scheduler.usedByAccount()) {
+        if (const auto known = policy->accounts.find(account); known != policy->accounts.end()) {
+            logChange("owner",
+                      "account",
+                      {{"account", account}, {"used-cpu", std::to_string(used.cpu)}, {"cap-cpu", std::to_string(known->second.cap.cpu)},
+                       {"used-memory", std::to_string(used.memory)}, {"cap-memory", std::to_string(known->second.cap.memory)}});
+        }
+    }
+}
+
 void Reign::Impl::expireAnswers()
 {
     const std::int64_t wallMs = toUnixMilliseconds(wallNow());
--- a/libs/scheduling/include/scheduling/machines.h
+++ b/libs/scheduling/include/scheduling/machines.h
@@ -46,6 +46,8 @@
     std::size_t runs = 0;
     /** Runs that last. */
     std::size_t lasting = 0;
+    /** When the last of its other runs will have ended, by their progress so far. */
+    std::chrono::milliseconds emptyIn{0};
     /** An order for the machine is under way or just took effect. */
     bool ordered = false;
 };
--- a/libs/scheduling/include/scheduling/poolplan.h
+++ b/libs/scheduling/include/scheduling/poolplan.h
@@ -2,9 +2,10 @@
 
 #include "scheduling/machines.h"
 
-#include <deque>
 #include <map>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Cornelquay {
@@ -13,7 +14,7 @@
 struct PoolDemand {
     /** Taken up by runs. */
     Resources used;
-    /** Of work that is ready and finds no room. */
+    /** Of work that is ready, finds no room and can still be in time. */
     Resources backlog;
     bool standby = false;
 };
@@ -27,32 +28,50 @@
     /** Work that waits for this long is not served by the next runs that end. */
     std::chrono::milliseconds waiting{150};
     /** Least time between two moves of one machine. */
-    std::chrono::milliseconds settle{2500};
+    std::chrono::milliseconds settle{2000};
+    /** Machines whose runs end later than this are not emptied for another pool. */
+    std::chrono::milliseconds emptyingMost{2500};
+};
+
+/** Which machines move, and which take no new work so that they can. */
+struct PoolDecision {
+    std::vector<MoveMachine> moves;
+    std::vector<MachineId> cordon;
 };
 
 /**
  * Decides which machines change their pool.
  *
- * Answers the load pattern "each queue in turn asks for several times its mean": machines that are
- * idle go to the pool whose work waits, from the standby pool and from pools in their quiet time,
- * and to the standby pool when nobody needs them. Pure; remembers the recent past only.
+ * Answers the load pattern "each queue in turn asks for several times its mean": each pool is to have
+ * what its runs and its waiting work need; when all pools together need more than there is, each gets
+ * its part. Machines come from the standby pool, from those that are idle, and from pools that have
+ * more than they need, where the ones that are empty soonest take no new work. What nobody needs goes
+ * to the standby pool. Pure; remembers the recent past only.
  */
 class PoolPlan
 {
 public:
     explicit PoolPlan(PoolTimes times);
 
-    std::vector<MoveMachine> decide(const std::map<MachineId, MachineView> &machines, const std::map<std::string, PoolDemand> &pools, BootTime now);
+    PoolDecision decide(const std::map<MachineId, MachineView> &machines, const std::map<std::string, PoolDemand> &pools, BootTime now);
     /** The machine cannot go to this pool. */
     void noteInvalid(const MoveMachine &move);
 
 private:
-    struct IdleMachine {
-        const MachineView *view = nullptr;
-        std::chrono::milliseconds idleFor{0};
+    /** A pool during one decision. */
+    struct Balance {
+        std::size_t have = 0;
+        std::size_t want = 0;
+        /** Machines that must stay for their lasting runs. */
+        std::size_t bound = 0;
+        std::vector<const MachineView *> idle;
+        std::vector<const MachineView *> busy;
     };
 
     void observe(const std::map<MachineId, MachineView> &machines, const std::map<std::string, PoolDemand> &pools, BootTime now);
+    std::map<std::string, Balance> weigh(const std::map<MachineId, MachineView> &machines, const std::map<std::string, PoolDemand> &pools, BootTime now) const;
+    bool isSettled(const MachineId &machine, BootTime now) const;
+    bool mayMove(const MachineView &view, const std::string &pool) const;
 
     PoolTimes m_times;
     std::map<MachineId, BootTime> m_busyAt;
--- a/libs/scheduling/include/scheduling/scheduler.h
+++ b/libs/scheduling/include/scheduling/scheduler.h
@@ -58,6 +58,20 @@
     std::string detail;
 };
 
+/** One pool at a moment. */
+struct PoolCounts {
+    std::size_t workers = 0;
+    /** Workers that take work. */
+    std::size_t usable = 0;
+    Resources capacity;
+    Resources used;
+    /** Of tasks that are ready, find no room and can still be in time. */
+    Resources backlog;
+    std::size_t waitingJobs = 0;
+    /** Of those, jobs that cannot meet their objective any more. */
+    std::size_t lateJobs = 0;
+};
+
 /** Which orders an owner may give at the moment. */
 enum class OrderScope {
     All,
@@ -167,7 +181,10 @@
     const WorkerSession *findWorker(const WorkerId &worker) const;
     /** Calls @p visit for each worker. */
     void visitWorkers(const std::function<void(const WorkerSession &session)> &visit) const;
-    /** Work that waits for room, by pool. */
+    std::map<std::string, PoolCounts> poolCounts(BootTime now) const;
+    /** What each account has running. */
+    const std::map<std::string, Resources> &usedByAccount() const;
+    /** Work of @p pool that is ready, finds no room and can still be in time. */
     Resources backlogOf(const std::string &pool) const;
 
 private:
--- a/libs/scheduling/src/poolplan.cpp
+++ b/libs/scheduling/src/poolplan.cpp
@@ -9,15 +9,36 @@
 
 // Room that is kept above what runs, so that the first jobs of a surge need not wait for a move.
 constexpr std::size_t SpareMachines = 1;
-// Machines on their way count against a backlog; beyond this many in one decision the list is too old.
-constexpr std::size_t MovesAtOnce = 8;
+// A pool gets one more machine once its work fills this much of it.
+constexpr double FillOfLast = 0.3;
+// Moves in one decision; the next one sees what they did.
+constexpr std::size_t MovesAtOnce = 12;
 
-std::size_t machinesFor(const Resources &demand, const Resources &machine)
+double machinesFor(const Resources &demand, const Resources &machine)
 {
-    const double cpu = machine.cpu > 0 ? static_cast<double>(demand.cpu) / static_cast<double>(machine.cpu) : 0;
-    const double memory = machine.memory > 0 ? static_cast<double>(demand.memory) / static_cast<double>(machine.memory) : 0;
-    const double gpu = machine.gpu > 0 ? static_cast<double>(demand.gpu) / static_cast<double>(machine.gpu) : 0;
-    return static_cast<std::size_t>(std::ceil(std::max({cpu, memory, gpu})));
+    const auto part = [](std::int64_t asked, std::int64_t has) {
+        return has > 0 ? static_cast<double>(asked) / static_cast<double>(has) : 0.0;
+    };
+    return std::max({part(demand.cpu, machine.cpu), part(demand.memory, machine.memory), part(demand.gpu, machine.gpu)});
+}
+
+Resources largestOf(const std::map<MachineId, MachineView> &machines)
+{
+    Resources size;
+    for (const auto &[id, view] : machines) {
+        size.cpu = std::max(size.cpu, view.facts.capacity.cpu);
+        size.memory = std::max(size.memory, view.facts.capacity.memory);
+        size.gpu = std::max(size.gpu, view.facts.capacity.gpu);
+    }
+    return size;
+}
+
+std::string findStandby(const std::map<std::string, PoolDemand> &pools)
+{
+    const auto found = std::find_if(pools.begin(), pools.end(), [](const auto &pool) {
+        return pool.second.standby;
+    });
+    return found == pools.end() ? std::string() : found->first;
 }
 
 }
@@ -32,6 +53,17 @@
     m_invalid.insert({move.machine, move.pool});
 }
 
+bool PoolPlan::mayMove(const MachineView &view, const std::string &pool) const
+{
+    return m_invalid.count({view.facts.id, pool}) == 0;
+}
+
+bool PoolPlan::isSettled(const MachineId &machine, BootTime now) const
+{
+    const auto moved = m_movedAt.find(machine);
+    return moved == m_movedAt.end() || now - moved->second >= m_times.settle;
+}
+
 void PoolPlan::observe(const std::map<MachineId, MachineView> &machines, const std::map<std::string, PoolDemand> &pools, BootTime now)
 {
     for (const auto &[id, view] : machines) {
@@ -39,7 +71,7 @@
         if (busy || m_busyAt.count(id) == 0) {
             m_busyAt[id] = now;
         }
-        if (view.facts.state == MachineState::Moving || view.ordered) {
+        if (view.facts.state == MachineState::Moving) {
             m_movedAt[id] = now;
         }
     }
@@ -52,85 +84,120 @@
     }
 }
 
-std::vector<MoveMachine> PoolPlan::decide(const std::map<MachineId, MachineView> &machines, const std::map<std::string, PoolDemand> &pools, BootTime now)
+std::map<std::string, PoolPlan::Balance> PoolPlan::weigh(const std::map<MachineId, MachineView> &machines,
+                                                         const std::map<std::string, PoolDemand> &pools,
+                                                         BootTime now) const
 {
-    observe(machines, pools, now);
-    std::string standby;
-    for (const auto &[pool, demand] : pools) {
-        if (demand.standby) {
-            standby = pool;
-        }
-    }
-    Resources size;
-    std::map<std::string, std::size_t> arriving;
-    std::map<std::string, std::vector<IdleMachine>> idle;
-    std::vector<const MachineView *> resting;
+    const Resources size = largestOf(machines);
+    std::map<std::string, Balance> balances;
+    std::size_t total = 0;
     for (const auto &[id, view] : machines) {
-        size.cpu = std::max(size.cpu, view.facts.capacity.cpu);
-        size.memory = std::max(size.memory, view.facts.capacity.memory);
-        size.gpu = std::max(size.gpu, view.facts.capacity.gpu);
-        if (view.facts.state == MachineState::Moving || view.ordered || (view.facts.state == MachineState::Up && !view.usable)) {
-            ++arriving[view.facts.pool];
+        Balance &balance = balances[view.facts.pool];
+        if (view.facts.state == MachineState::Down) {
+            continue;
         }
-        const auto moved = m_movedAt.find(id);
-        const bool settled = moved == m_movedAt.end() || now - moved->second >= m_times.settle;
+        ++total;
+        ++balance.have;
         if (view.facts.state != MachineState::Up || view.ordered) {
             continue;
         }
-        if (view.facts.pool == standby) {
-            resting.push_back(&view);
-        } else if (view.usable && view.runs == 0) {
-            idle[view.facts.pool].push_back({&view, settled ? now - m_busyAt[id] : std::chrono::milliseconds(0)});
+        if (view.lasting > 0) {
+            ++balance.bound;
+        } else if (view.runs > 0) {
+            balance.busy.push_back(&view);
+        } else {
+            balance.idle.push_back(&view);
         }
     }
-    std::vector<MoveMachine> moves;
+    double asked = 0;
     for (const auto &[pool, demand] : pools) {
         const auto waits = m_waitsSince.find(pool);
-        if (demand.standby || waits == m_waitsSince.end() || now - waits->second < m_times.waiting) {
+        const bool waited = waits != m_waitsSince.end() && now - waits->second >= m_times.waiting;
+        Balance &balance = balances[pool];
+        if (demand.standby) {
             continue;
         }
-        std::size_t wanted = machinesFor(demand.backlog, size);
-        wanted -= std::min(wanted, arriving[pool] + idle[pool].size());
-        while (wanted > 0 && moves.size() < MovesAtOnce) {
-            const MachineView *chosen = nullptr;
-            if (!resting.empty()) {
-                chosen = resting.back();
-                resting.pop_back();
-            } else {
-                // Of pools in their quiet time, the one with most idle machines gives one.
-                auto giver = std::max_element(idle.begin(), idle.end(), [](const auto &a, const auto &b) {
-                    return a.second.size() < b.second.size();
-                });
-                if (giver == idle.end() || giver->first == pool || giver->second.size() <= SpareMachines) {
-                    break;
-                }
-                if (m_waitsSince.count(giver->first) != 0 || giver->second.back().idleFor <= std::chrono::milliseconds(0)) {
-                    break;
-                }
-                chosen = giver->second.back().view;
-                giver->second.pop_back();
+        const double machinesNeeded = machinesFor(waited ? demand.used + demand.backlog : demand.used, size);
+        const auto needed = static_cast<std::size_t>(std::max(0.0, std::ceil(machinesNeeded - FillOfLast)));
+        balance.want = std::max(needed, balance.bound) + SpareMachines;
+        asked += static_cast<double>(balance.want);
+    }
+    if (asked > static_cast<double>(total) && asked > 0) {
+        for (auto &[pool, balance] : balances) {
+            const double part = static_cast<double>(balance.want) * static_cast<double>(total) / asked;
+            balance.want = std::max(balance.bound, static_cast<std::size_t>(part));
+        }
+    }
+    return balances;
+}
+
+PoolDecision PoolPlan::decide(const std::map<MachineId, MachineView> &machines, const std::map<std::string, PoolDemand> &pools, BootTime now)
+{
+    observe(machines, pools, now);
+    const std::string standby = findStandby(pools);
+    std::map<std::string, Balance> balances = weigh(machines, pools, now);
+    PoolDecision decision;
+
+    // Whoever has too much gives what is idle; the standby pool gives all.
+    std::vector<const MachineView *> free;
+    for (auto &[pool, balance] : balances) {
+        std::sort(balance.idle.begin(), balance.idle.end(), [this](const MachineView *a, const MachineView *b) {
+            return m_busyAt.at(a->facts.id) < m_busyAt.at(b->facts.id);
+        });
+        std::size_t surplus = pool == standby ? balance.idle.size() : balance.have - std::min(balance.have, balance.want);
+        for (const MachineView *view : balance.idle) {
+            if (surplus == 0) {
+                break;
             }
-            --wanted;
-            if (m_invalid.count({chosen->facts.id, pool}) == 0) {
-                moves.push_back({chosen->facts.id, pool});
+            if (pool == standby || isSettled(view->facts.id, now)) {
+                free.push_back(view);
+                --surplus;
             }
         }
     }
-    if (standby.empty()) {
-        return moves;
+    std::stable_partition(free.begin(), free.end(), [&](const MachineView *view) {
+        return view->facts.pool == standby;
+    });
+
+    std::size_t lacking = 0;
+    for (const auto &[pool, balance] : balances) {
+        std::size_t missing = pool == standby ? 0 : balance.want - std::min(balance.have, balance.want);
+        for (auto view = free.begin(); view != free.end() && missing > 0 && decision.moves.size() < MovesAtOnce;) {
+            if (!mayMove(**view, pool)) {
+                ++view;
+                continue;
+            }
+            decision.moves.push_back({(*view)->facts.id, pool});
+            view = free.erase(view);
+            --missing;
+        }
+        lacking += missing;
     }
-    for (auto &[pool, unused] : idle) {
-        std::sort(unused.begin(), unused.end(), [](const IdleMachine &a, const IdleMachine &b) {
-            return a.idleFor < b.idleFor;
+    for (auto &[pool, balance] : balances) {
+        const std::size_t surplus = balance.have - std::min(balance.have, balance.want);
+        if (pool == standby || surplus <= balance.idle.size() || lacking == 0) {
+            continue;
+        }
+        std::sort(balance.busy.begin(), balance.busy.end(), [](const MachineView *a, const MachineView *b) {
+            return std::tuple(a->emptyIn, a->facts.id) < std::tuple(b->emptyIn, b->facts.id);
         });
-        while (unused.size() > SpareMachines && unused.back().idleFor >= m_times.idle && moves.size() < MovesAtOnce) {
-            if (m_invalid.count({unused.back().view->facts.id, standby}) == 0) {
-                moves.push_back({unused.back().view->facts.id, standby});
+        std::size_t most = std::min(surplus - balance.idle.size(), lacking);
+        for (const MachineView *view : balance.busy) {
+            if (most == 0 || view->emptyIn > m_times.emptyingMost) {
+                break;
             }
-            unused.pop_back();
+            decision.cordon.push_back(view->facts.id);
+            --most;
+            --lacking;
+        }
+    }
+    for (const MachineView *view : free) {
+        const bool rests = standby.empty() || view->facts.pool == standby;
+        if (!rests && now - m_busyAt.at(view->facts.id) >= m_times.idle && mayMove(*view, standby) && decision.moves.size() < MovesAtOnce) {
+            decision.moves.push_back({view->facts.id, standby});
         }
     }
-    return moves;
+    return decision;
 }
 
 }
--- a/libs/scheduling/src/scheduler.cpp
+++ b/libs/scheduling/src/scheduler.cpp
@@ -373,6 +373,36 @@
     }
 }
 
+std::map<std::string, PoolCounts> Scheduler::poolCounts(BootTime now) const
+{
+    std::map<std::string, PoolCounts> pools;
+    for (const auto &[id, session] : m_impl->workers) {
+        PoolCounts &counts = pools[session.facts().pool];
+        ++counts.workers;
+        counts.used += session.used();
+        if (session.mayTakeWork(now)) {
+            ++counts.usable;
+            counts.capacity += session.facts().capacity;
+        }
+    }
+    for (const auto &[pool, demand] : m_impl->backlog) {
+        pools[pool].backlog = demand;
+    }
+    for (const auto &[id, entry] : m_impl->jobs) {
+        if (entry.job.isOpen() && entry.mayHaveReady) {
+            PoolCounts &counts = pools[entry.job.record().terms.pool];
+            ++counts.waitingJobs;
+            counts.lateJobs += isLate(entry.outlook, now) ? 1 : 0;
+        }
+    }
+    return pools;
+}
+
+const std::map<std::string, Resources> &Scheduler::usedByAccount() const
+{
+    return m_impl->accountUsed;
+}
+
 Resources Scheduler::backlogOf(const std::string &pool) const
 {
     const auto found = m_impl->backlog.find(pool);
--- a/libs/scheduling/src/schedulerplacing.cpp
+++ b/libs/scheduling/src/schedulerplacing.cpp
@@ -178,7 +178,9 @@
         }
         if (chosen == nullptr) {
             entry.mayHaveReady = true;
-            backlog[entry.job.record().terms.pool] += request.demand;
+            if (!isLate(entry.outlook, now)) {
+                backlog[entry.job.record().terms.pool] += request.demand;
+            }
             continue;
         }
         const WorkerFacts &facts = chosen->session->facts();
