Pack lasting tasks, and move them early when their machines are to be maintained

Cause: lasting tasks were spread one to a machine, so no machine could rest, and a wave began with the machines that have none: the last three were late. Ruled out: the wave's limit of machines out at once (never reached after the first second). Change: at most one task of a step to a worker while others with lasting tasks have room; waves begin with lasting tasks; those are not placed where the wave is still to come; starting ones are looked at often.

--- a/libs/jobnode/src/machinekeeper.cpp
+++ b/libs/jobnode/src/machinekeeper.cpp
@@ -168,6 +168,7 @@
     for (const auto &[id, view] : views) {
         backlog.try_emplace(view.facts.pool, m_scheduler.backlogOf(view.facts.pool));
     }
+    std::vector<WorkerId> leaving;
     for (auto &[number, wave] : m_waves) {
         if (wave.isCompleted()) {
             continue;
@@ -176,6 +177,9 @@
         for (const MachineId &machine : decision.cordon) {
             m_cordoned.push_back(views.at(machine).facts.worker);
         }
+        for (const MachineId &machine : decision.due) {
+            leaving.push_back(views.at(machine).facts.worker);
+        }
         // Nothing may be placed on a machine between the decision and its order.
         m_scheduler.setCordoned(m_cordoned);
         for (const MachineId &machine : decision.evacuate) {
@@ -189,6 +193,7 @@
             reportWave(number, true);
         }
     }
+    m_scheduler.setLeaving(std::move(leaving));
 }
 
 void MachineKeeper::decidePools(const std::map<MachineId, MachineView> &views, const FleetPolicy &policy, BootTime now)
@@ -257,7 +262,10 @@
               {{"machine", machine},
                {"worker", worker},
                {"target", move != nullptr ? move->pool : std::to_string(maintain->wave)},
-               {"result", taken ? "taken" : refusal != nullptr ? std::string(toName(*refusal)) : "unanswered"}});
+               {"result",
+                taken                    ? "taken"
+                    : refusal != nullptr ? std::string(toName(*refusal))
+                                         : "unanswered"}});
     if (!taken) {
         // Unanswered orders are repeated once the list was read again; they have no effect twice.
         if (move != nullptr && refusal != nullptr && *refusal == MachineRefusal::Invalid) {
--- a/libs/jobnode/src/reign.cpp
+++ b/libs/jobnode/src/reign.cpp
@@ -528,8 +528,11 @@
         if (const auto known = policy->accounts.find(account); known != policy->accounts.end()) {
             logChange("owner",
                       "account",
-                      {{"account", account}, {"used-cpu", std::to_string(used.cpu)}, {"cap-cpu", std::to_string(known->second.cap.cpu)},
-                       {"used-memory", std::to_string(used.memory)}, {"cap-memory", std::to_string(known->second.cap.memory)}});
+                      {{"account", account},
+                       {"used-cpu", std::to_string(used.cpu)},
+                       {"cap-cpu", std::to_string(known->second.cap.cpu)},
+                       {"used-memory", std::to_string(used.memory)},
+                       {"cap-memory", std::to_string(known->second.cap.memory)}});
         }
     }
 }
--- a/libs/scheduling/include/scheduling/placement.h
+++ b/libs/scheduling/include/scheduling/placement.h
@@ -33,14 +33,17 @@
     WorkerSession *session = nullptr;
     /** Kept free for a task that found no room. */
     bool reserved = false;
+    /** Its machine is to be maintained soon. */
+    bool leaving = false;
 };
 
 /**
  * The best of @p candidates for @p request, null if it fits none.
  *
  * Answers three load patterns: "workers that fail everything look the least loaded" by counting
- * recent failures before load; "one rack is lost" by spreading lasting tasks over racks; "demand
- * comes by turns" by filling workers that are in use first, so that the others can be switched off.
+ * recent failures before load; "one worker is lost" by spreading the tasks of a lasting step; "demand
+ * comes by turns" by filling workers that are in use first, those with lasting tasks before all, so
+ * that the others can be switched off.
  */
 PlacementCandidate *choosePlacement(const PlacementRequest &request, std::vector<PlacementCandidate *> &candidates);
 
--- a/libs/scheduling/include/scheduling/scheduler.h
+++ b/libs/scheduling/include/scheduling/scheduler.h
@@ -140,6 +140,8 @@
     void workerRemoved(const WorkerId &worker);
     /** No new work for these workers, which are about to be taken away; replaces the former set. */
     void setCordoned(std::vector<WorkerId> workers);
+    /** Lasting tasks go elsewhere if they can, as these will be cordoned; replaces the former set. */
+    void setLeaving(std::vector<WorkerId> workers);
     /**
      * An order for the worker's machine was taken, which as a rule ends the worker. It gets no work until
      * it is seen again. What ran there is not taken for ended: a repeated order is taken without effect.
--- a/libs/scheduling/include/scheduling/waveplan.h
+++ b/libs/scheduling/include/scheduling/waveplan.h
@@ -15,6 +15,8 @@
     std::chrono::milliseconds maintenance{2000};
     /** Until the runs on a machine that takes no new work have ended, as a rule. */
     std::chrono::milliseconds emptying{3000};
+    /** Until one lasting run of a step is at work elsewhere, so that the next one may go. */
+    std::chrono::milliseconds evacuation{3000};
     /** Before the end of a wave, machines without lasting runs are maintained whatever runs there. */
     std::chrono::milliseconds forceBefore{3000};
 };
@@ -26,6 +28,8 @@
     std::vector<MachineId> cordon;
     /** Machines whose lasting runs should go elsewhere. */
     std::vector<MachineId> evacuate;
+    /** Machines that are still to be maintained. */
+    std::vector<MachineId> due;
     /** Every machine that stays has been maintained. */
     bool completed = false;
 };
@@ -56,7 +60,7 @@
 
 private:
     bool isOut(const MachineId &machine, const MachineView &view, BootTime now) const;
-    std::size_t wantedAtOnce(std::size_t left, BootTime now) const;
+    std::size_t wantedAtOnce(const std::vector<const MachineView *> &left, BootTime now) const;
 
     WaveSpec m_spec;
     WaveTimes m_times;
--- a/libs/scheduling/include/scheduling/workersession.h
+++ b/libs/scheduling/include/scheduling/workersession.h
@@ -8,6 +8,9 @@
 
 namespace Cornelquay {
 
+/** The percentage of a lasting run that is at work. */
+constexpr int AtWorkPercent = 100;
+
 /** How far a start order is. */
 enum class StartProgress : std::uint8_t {
     /** The placement is not stored yet; the order must not leave. */
@@ -116,6 +119,7 @@
     const Resources &used() const;
     /** Runs with users of their own, and runs that take left-over capacity. */
     int servingCount() const;
+    int lastingCount() const;
     int fillingCount() const;
     std::map<TaskName, LiveRun> &runs();
     const std::map<TaskName, LiveRun> &runs() const;
@@ -129,6 +133,8 @@
     double failureScore() const;
 
 private:
+    bool isStarting() const;
+
     WorkerFacts m_facts;
     LeaseTerms m_terms;
     std::uint64_t m_token;
@@ -152,6 +158,7 @@
     std::map<TaskName, LiveRun> m_runs;
     Resources m_used;
     int m_serving = 0;
+    int m_lasting = 0;
     int m_filling = 0;
     double m_failureScore = 0;
     BootTime m_avoidUntil{};
--- a/libs/scheduling/src/details/schedulerimpl.h
+++ b/libs/scheduling/src/details/schedulerimpl.h
@@ -75,6 +75,7 @@
     std::unordered_map<JobId, JobEntry> jobs;
     std::map<WorkerId, WorkerSession> workers;
     std::set<WorkerId> cordoned;
+    std::set<WorkerId> leaving;
     std::map<std::string, Resources> accountUsed;
     std::map<std::string, SubmissionBucket> buckets;
     std::map<std::string, Resources> backlog;
--- a/libs/scheduling/src/placement.cpp
+++ b/libs/scheduling/src/placement.cpp
@@ -11,8 +11,10 @@
 constexpr double FailureWeight = 2000;
 constexpr double FailedTaskWeight = 3000;
 constexpr double FarWeight = 1500;
-constexpr double SameRackWeight = 700;
-constexpr double LastingWeight = 400;
+constexpr double SameRackWeight = 60;
+constexpr double SameWorkerWeight = 700;
+constexpr double BoundBonus = 400;
+constexpr double LeavingWeight = 2500;
 constexpr double DisturbanceWeight = 600;
 
 std::uint32_t countOf(const std::map<std::string, std::uint32_t> &counts, const std::string &key)
@@ -38,8 +40,11 @@
         sum += FarWeight;
     }
     if (request.lasting) {
-        sum += SameRackWeight * countOf(request.siblingsByRack, facts.rack) + LastingWeight * session.servingCount();
+        sum += SameRackWeight * countOf(request.siblingsByRack, facts.rack) + SameWorkerWeight * countOf(request.siblingsByWorker, facts.id);
+        sum += candidate.leaving ? LeavingWeight : 0;
     }
+    // Workers that cannot be switched off anyway are used first.
+    sum -= session.lastingCount() > 0 ? BoundBonus : 0;
     if (request.fills) {
         sum += DisturbanceWeight * session.servingCount();
     } else if (request.serves) {
@@ -47,7 +52,7 @@
     }
     const double capacity = static_cast<double>(std::max<std::int64_t>(1, facts.capacity.cpu));
     const double used = 1000.0 * static_cast<double>(session.used().cpu) / capacity;
-    return sum + (request.lasting ? used : 1000.0 - used);
+    return sum + 1000.0 - used;
 }
 
 }
--- a/libs/scheduling/src/poolplan.cpp
+++ b/libs/scheduling/src/poolplan.cpp
@@ -84,9 +84,8 @@
     }
 }
 
-std::map<std::string, PoolPlan::Balance> PoolPlan::weigh(const std::map<MachineId, MachineView> &machines,
-                                                         const std::map<std::string, PoolDemand> &pools,
-                                                         BootTime now) const
+std::map<std::string, PoolPlan::Balance>
+PoolPlan::weigh(const std::map<MachineId, MachineView> &machines, const std::map<std::string, PoolDemand> &pools, BootTime now) const
 {
     const Resources size = largestOf(machines);
     std::map<std::string, Balance> balances;
--- a/libs/scheduling/src/scheduler.cpp
+++ b/libs/scheduling/src/scheduler.cpp
@@ -165,6 +165,11 @@
     m_impl->placingWanted = true;
 }
 
+void Scheduler::setLeaving(std::vector<WorkerId> workers)
+{
+    m_impl->leaving = {workers.begin(), workers.end()};
+}
+
 void Scheduler::workerWithdrawn(const WorkerId &worker, BootTime now)
 {
     const auto found = m_impl->workers.find(worker);
--- a/libs/scheduling/src/schedulerplacing.cpp
+++ b/libs/scheduling/src/schedulerplacing.cpp
@@ -40,7 +40,7 @@
     std::map<std::string, PoolRoom> rooms;
     for (auto &[id, session] : workers) {
         if (session.mayTakeWork(now) && cordoned.count(id) == 0) {
-            rooms[session.facts().pool].all.push_back({&session, false});
+            rooms[session.facts().pool].all.push_back({&session, false, leaving.count(id) != 0});
         }
     }
     for (auto &[pool, room] : rooms) {
--- a/libs/scheduling/src/schedulerresults.cpp
+++ b/libs/scheduling/src/schedulerresults.cpp
@@ -98,7 +98,7 @@
         bool atWork = false;
         if (other.phase == TaskPhase::Placed && worker != workers.end() && worker->second.isReachable()) {
             const auto run = worker->second.runs().find({task.job, {task.ref.occurrence, task.ref.step, index}});
-            atWork = run != worker->second.runs().end() && run->second.percent == 100 && run->second.stop == StopProgress::NotWanted;
+            atWork = run != worker->second.runs().end() && run->second.percent == AtWorkPercent && run->second.stop == StopProgress::NotWanted;
         }
         away += atWork ? 0 : 1;
     }
--- a/libs/scheduling/src/waveplan.cpp
+++ b/libs/scheduling/src/waveplan.cpp
@@ -71,11 +71,14 @@
     return justDone || view.facts.state == MachineState::Maintenance || view.ordered;
 }
 
-std::size_t WavePlan::wantedAtOnce(std::size_t left, BootTime now) const
+std::size_t WavePlan::wantedAtOnce(const std::vector<const MachineView *> &left, BootTime now) const
 {
-    const auto timeLeft = std::max<std::chrono::milliseconds>(500ms, m_endsAt - now - m_times.forceBefore);
-    const auto each = m_times.maintenance + m_times.emptying;
-    const double wanted = std::ceil(static_cast<double>(left) * static_cast<double>(each.count()) / static_cast<double>(timeLeft.count()));
+    const auto timeLeft = std::max<std::chrono::milliseconds>(500ms, m_endsAt - now - 2 * m_times.forceBefore);
+    std::chrono::milliseconds work{0};
+    for (const MachineView *view : left) {
+        work += m_times.maintenance + m_times.emptying + m_times.evacuation * static_cast<int>(view->lasting);
+    }
+    const double wanted = std::ceil(static_cast<double>(work.count()) / static_cast<double>(timeLeft.count()));
     return std::clamp<std::size_t>(static_cast<std::size_t>(wanted), 1, m_spec.outMax);
 }
 
@@ -99,6 +102,9 @@
             left.push_back(&found->second);
         }
     }
+    for (const MachineView *view : left) {
+        decision.due.push_back(view->facts.id);
+    }
     if (left.empty()) {
         decision.completed = true;
         return decision;
@@ -108,13 +114,14 @@
         const auto key = [&](const MachineView *view) {
             const auto waiting = backlog.find(view->facts.pool);
             const bool busyPool = waiting != backlog.end() && waiting->second.cpu > 0;
-            return std::tuple(m_emptying.count(view->facts.id) == 0, busyPool, view->lasting, view->runs, view->facts.id);
+            // Lasting runs take long to go elsewhere, one after the other, so their machines are begun with.
+            return std::tuple(m_emptying.count(view->facts.id) == 0, view->runs != 0, view->lasting == 0, busyPool, view->runs, view->facts.id);
         };
         return key(a) < key(b);
     });
     std::map<std::string, std::size_t> emptyingByPool;
     std::set<MachineId> emptying;
-    const std::size_t wanted = wantedAtOnce(left.size(), now);
+    const std::size_t wanted = wantedAtOnce(left, now);
     for (const MachineView *view : left) {
         const MachineId &id = view->facts.id;
         if (view->facts.state != MachineState::Up || view->ordered) {
--- a/libs/scheduling/src/workersession.cpp
+++ b/libs/scheduling/src/workersession.cpp
@@ -11,6 +11,8 @@
 
 // Long enough that idle looks are rare, short enough that three fit into a lease of six seconds.
 constexpr auto HoldWait = 1500ms;
+// While a lasting run is not at work yet: others wait for it.
+constexpr std::chrono::milliseconds StartingWait = 250ms;
 // Ends that wait to be stored do not stop the lease from being extended.
 constexpr auto UnstoredEndsInterval = 700ms;
 // Pause between looks at a worker that does not answer.
@@ -80,7 +82,7 @@
         noteLeaseExtension(now);
     }
     const bool mayWait = m_confirmed && m_reachable && m_deferred.empty() && !m_runs.empty();
-    order.wait = mayWait ? std::chrono::milliseconds(HoldWait) : 0ms;
+    order.wait = mayWait ? (isStarting() ? StartingWait : std::chrono::milliseconds(HoldWait)) : 0ms;
     m_sentAcknowledged = order.acknowledgedEnd;
     (probe ? m_probeInFlight : m_holdInFlight) = true;
     m_probeToken = probe ? m_token : m_probeToken;
@@ -88,6 +90,13 @@
     return order;
 }
 
+bool WorkerSession::isStarting() const
+{
+    return std::any_of(m_runs.begin(), m_runs.end(), [](const auto &item) {
+        return item.second.lasting && item.second.start == StartProgress::Accepted && item.second.percent != AtWorkPercent;
+    });
+}
+
 void WorkerSession::noteListing(const Listing &listing, std::uint64_t token, BootTime now)
 {
     if (listing.bornMs != m_bornMs) {
@@ -161,6 +170,7 @@
     m_used += run.demand;
     m_serving += run.tailTargetMs > 0 ? 1 : 0;
     m_filling += run.fills ? 1 : 0;
+    m_lasting += run.lasting ? 1 : 0;
     m_runs.insert_or_assign(task, std::move(run));
 }
 
@@ -171,6 +181,7 @@
         m_used -= found->second.demand;
         m_serving -= found->second.tailTargetMs > 0 ? 1 : 0;
         m_filling -= found->second.fills ? 1 : 0;
+        m_lasting -= found->second.lasting ? 1 : 0;
         m_runs.erase(found);
     }
 }
@@ -243,6 +254,11 @@
     return m_serving;
 }
 
+int WorkerSession::lastingCount() const
+{
+    return m_lasting;
+}
+
 int WorkerSession::fillingCount() const
 {
     return m_filling;
