--- a/libs/httpio/tests/httpiotest.cpp
+++ b/libs/httpio/tests/httpiotest.cpp
@@ -1,1 +1,236 @@
+#include "details/messageparser.h"
+#include "httpio/httpclient.h"
+#include "httpio/httpserver.h"
+
+#include <asio.hpp>
+
 #include <boost/test/unit_test.hpp>
+
+#include <array>
+#include <deque>
+#include <map>
+#include <random>
+
+using namespace Cornelquay;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Address AnyPort{"127.0.0.1", 0};
+
+HttpRequest makeRequest(const std::string &target, std::string body = {})
+{
+    HttpRequest request;
+    request.method = body.empty() ? "GET" : "POST";
+    request.target = target;
+    request.body = std::move(body);
+    return request;
+}
+
+/** Runs @p io until @p done or a generous time has passed. */
+template<typename Condition>
+void runUntil(asio::io_context &io, Condition done)
+{
+    const SteadyTime most = steadyNow() + 20s;
+    while (!done() && steadyNow() < most) {
+        io.restart();
+        io.run_one_for(100ms);
+    }
+    BOOST_REQUIRE(done());
+}
+
+CallResult ask(asio::io_context &io, HttpClient &client, HttpRequest request, std::chrono::milliseconds timeout = 5s)
+{
+    std::optional<CallResult> result;
+    client.call({std::move(request), steadyNow() + timeout}, [&](CallResult given) {
+        result = std::move(given);
+    });
+    runUntil(io, [&] {
+        return result.has_value();
+    });
+    return std::move(*result);
+}
+
+/** What a raw connection gets for @p bytes until the server ends it or @p answers answers came. */
+std::string exchange(asio::io_context &io, std::uint16_t port, const std::string &bytes, std::size_t answers)
+{
+    asio::ip::tcp::socket socket(io);
+    socket.connect({asio::ip::make_address("127.0.0.1"), port});
+    asio::write(socket, asio::buffer(bytes));
+    std::string received;
+    std::array<char, 4096> buffer{};
+    bool ended = false;
+    std::function<void()> read = [&] {
+        socket.async_read_some(asio::buffer(buffer), [&](const asio::error_code &error, std::size_t length) {
+            received.append(buffer.data(), length);
+            std::size_t count = 0;
+            for (std::size_t at = received.find("HTTP/1.1"); at != std::string::npos; at = received.find("HTTP/1.1", at + 1)) {
+                ++count;
+            }
+            ended = error || count >= answers;
+            if (!ended) {
+                read();
+            }
+        });
+    };
+    read();
+    runUntil(io, [&] {
+        return ended;
+    });
+    return received;
+}
+
+}
+
+BOOST_AUTO_TEST_CASE(callsAreAnsweredOverOneConnection)
+{
+    asio::io_context io;
+    HttpServer server(io, AnyPort, {}, [](const HttpRequest &request, const HttpServer::Responder &respond) {
+        respond({200, request.method + request.target + request.body, {{"X-Seen", std::string(request.header("x-given"))}}});
+    });
+    BOOST_REQUIRE(server.isBound());
+    HttpClient client(io, {"127.0.0.1", server.port()}, 1);
+    for (int round = 0; round < 50; ++round) {
+        HttpRequest request = makeRequest("/a", std::string(static_cast<std::size_t>(round) * 997, 'x'));
+        request.headers.push_back({"X-Given", "value"});
+        const std::string expected = request.method + "/a" + request.body;
+        const CallResult result = ask(io, client, std::move(request));
+        BOOST_REQUIRE(result.has_value());
+        BOOST_TEST(result->body == expected);
+        BOOST_TEST(result->header("x-seen") == "value");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(answersMayComeLaterAndInAnyOrder)
+{
+    asio::io_context io;
+    std::deque<std::pair<std::string, HttpServer::Responder>> waiting;
+    HttpServer server(io, AnyPort, {}, [&](const HttpRequest &request, const HttpServer::Responder &respond) {
+        waiting.emplace_back(request.target, respond);
+    });
+    HttpClient client(io, {"127.0.0.1", server.port()}, 3);
+    std::map<std::string, std::string> answers;
+    for (const std::string target : {"/1", "/2", "/3"}) {
+        client.call({makeRequest(target), steadyNow() + 5s}, [&, target](const CallResult &result) {
+            answers[target] = result->body;
+        });
+    }
+    runUntil(io, [&] {
+        return waiting.size() == 3;
+    });
+    BOOST_TEST(server.inFlight() == 3U);
+    for (auto entry = waiting.rbegin(); entry != waiting.rend(); ++entry) {
+        entry->second({200, entry->first, {}});
+        // A second answer to the same request is ignored.
+        entry->second({200, "again", {}});
+    }
+    runUntil(io, [&] {
+        return answers.size() == 3;
+    });
+    for (const auto &[target, body] : answers) {
+        BOOST_TEST(target == body);
+    }
+    BOOST_TEST(server.inFlight() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(whatWasNotSentIsToldFromWhatWasNotAnswered)
+{
+    asio::io_context io;
+    std::uint16_t unused = 0;
+    {
+        HttpServer gone(io, AnyPort, {}, [](const HttpRequest &, const HttpServer::Responder &) {});
+        unused = gone.port();
+    }
+    HttpClient nobody(io, {"127.0.0.1", unused}, 1);
+    BOOST_TEST((ask(io, nobody, makeRequest("/")).error() == CallFailure::NotSent));
+
+    HttpServer silent(io, AnyPort, {}, [](const HttpRequest &, const HttpServer::Responder &) {});
+    HttpClient client(io, {"127.0.0.1", silent.port()}, 1);
+    BOOST_TEST((ask(io, client, makeRequest("/"), 50ms).error() == CallFailure::NoAnswer));
+
+    // A call that waits for a connection past its deadline was not sent.
+    std::vector<CallFailure> failures;
+    for (int number = 0; number < 2; ++number) {
+        client.call({makeRequest("/"), steadyNow() + std::chrono::milliseconds(number == 0 ? 300 : 50)}, [&](const CallResult &result) {
+            failures.push_back(result.error());
+        });
+    }
+    runUntil(io, [&] {
+        return failures.size() == 2;
+    });
+    BOOST_TEST((failures[0] == CallFailure::NotSent));
+    BOOST_TEST((failures[1] == CallFailure::NoAnswer));
+}
+
+BOOST_AUTO_TEST_CASE(aConnectionThatTheServerEndedIsNotUsedAgain)
+{
+    asio::io_context io;
+    auto answer = [](const HttpRequest &, const HttpServer::Responder &respond) {
+        respond({200, "{}", {}});
+    };
+    auto server = std::make_unique<HttpServer>(io, AnyPort, HttpLimits{}, answer);
+    const Address address{"127.0.0.1", server->port()};
+    HttpClient client(io, address, 1);
+    BOOST_TEST(ask(io, client, makeRequest("/")).has_value());
+    server->beginDrain();
+    // The answer that ends the connection is whole.
+    BOOST_TEST(ask(io, client, makeRequest("/")).has_value());
+    BOOST_TEST(ask(io, client, makeRequest("/")).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(limitsOfRequestsAreKept)
+{
+    asio::io_context io;
+    HttpLimits limits;
+    limits.headerBytes = 1000;
+    limits.bodyBytes = 1000;
+    HttpServer server(io, AnyPort, limits, [](const HttpRequest &, const HttpServer::Responder &respond) {
+        respond({200, "{}", {}});
+    });
+    const std::string host = "Host: x\r\n";
+    BOOST_TEST(exchange(io, server.port(), "GET / HTTP/1.1\r\n" + host + "\r\n", 1).find("200") != std::string::npos);
+    BOOST_TEST(exchange(io, server.port(), "GET / HTTP/1.1\r\n" + host + "A: " + std::string(2000, 'a') + "\r\n\r\n", 1).find(" 431 ") != std::string::npos);
+    BOOST_TEST(exchange(io, server.port(), "POST / HTTP/1.1\r\n" + host + "Content-Length: 2000\r\n\r\n" + std::string(2000, 'a'), 1).find(" 413 ")
+               != std::string::npos);
+    BOOST_TEST(exchange(io, server.port(), "nonsense\r\n\r\n", 1).find(" 400 ") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(requestsSentAheadAreAnsweredInTheirOrder)
+{
+    asio::io_context io;
+    HttpServer server(io, AnyPort, {}, [](const HttpRequest &request, const HttpServer::Responder &respond) {
+        respond({200, request.target + request.body, {}});
+    });
+    const std::string first = "GET /first HTTP/1.1\r\nHost: x\r\n\r\n";
+    const std::string second = "POST /second HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc";
+    const std::string third = "POST /third HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nxyz\r\n0\r\n\r\n";
+    const std::string received = exchange(io, server.port(), first + second + third + first, 4);
+    const std::size_t one = received.find("/first");
+    const std::size_t two = received.find("/secondabc");
+    const std::size_t three = received.find("/thirdxyz");
+    BOOST_TEST(one < two);
+    BOOST_TEST(two < three);
+    BOOST_TEST(three < received.rfind("/first"));
+}
+
+// Bytes that come in pieces of any size give the same message; damaged ones never crash.
+BOOST_AUTO_TEST_CASE(messagesInPiecesAreRead)
+{
+    const std::string bytes = "POST /path HTTP/1.1\r\nHost: x\r\nContent-Length: 11\r\n\r\nhello world";
+    for (std::size_t piece = 1; piece < bytes.size(); ++piece) {
+        Details::MessageParser parser(HTTP_REQUEST, 1000, 1000);
+        for (std::size_t at = 0; at < bytes.size(); at += piece) {
+            parser.feed(std::string_view(bytes).substr(at, piece));
+        }
+        BOOST_REQUIRE((parser.state() == Details::ParseState::Complete));
+        BOOST_TEST(parser.takeRequest().body == "hello world");
+    }
+    std::mt19937 random(7);
+    for (int round = 0; round < 2000; ++round) {
+        std::string damaged = bytes;
+        damaged[random() % damaged.size()] = static_cast<char>(random());
+        Details::MessageParser parser(HTTP_REQUEST, 1000, 1000);
+        parser.feed(damaged);
+        parser.finish();
+    }
+}
--- a/libs/scheduling/tests/fleetsimulation.cpp
+++ b/libs/scheduling/tests/fleetsimulation.cpp
@@ -301,9 +301,12 @@
         const HoldResult result = hold(worker, order);
         const bool lost = chance(m_faults.lostAnswers);
         const bool waits = std::holds_alternative<Listing>(result) && std::get<Listing>(result).ended.empty() && order.wait.count() > 0;
-        at(lost ? 700ms : waits ? 50ms : between(1, 4), [answer, result, lost] {
-            answer(lost ? HoldResult(OrderUnanswered{}) : result);
-        });
+        at(lost        ? 700ms
+               : waits ? 50ms
+                       : between(1, 4),
+           [answer, result, lost] {
+               answer(lost ? HoldResult(OrderUnanswered{}) : result);
+           });
     });
 }
 
--- /dev/null
+++ b/libs/scheduling/tests/plantest.cpp
@@ -0,0 +1,344 @@
+#include "scheduling/joborder.h"
+#include "scheduling/placement.h"
+#include "scheduling/poolplan.h"
+#include "scheduling/waveplan.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace Cornelquay;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr BootTime Start{std::chrono::milliseconds(1000000)};
+constexpr Resources Capacity{16000, 32000, 0};
+
+MachineView makeMachine(const std::string &id, const std::string &pool, std::size_t runs)
+{
+    MachineView view;
+    view.facts.id = id;
+    view.facts.pool = pool;
+    view.facts.capacity = Capacity;
+    view.facts.worker = "w-" + id;
+    view.usable = pool != "rest";
+    view.runs = runs;
+    view.emptyIn = runs == 0 ? 0ms : 800ms;
+    return view;
+}
+
+std::map<MachineId, MachineView> makeMachines(const std::vector<std::pair<std::string, std::size_t>> &pools)
+{
+    std::map<MachineId, MachineView> machines;
+    for (const auto &[pool, count] : pools) {
+        for (std::size_t number = 0; number < count; ++number) {
+            const std::string id = pool + std::to_string(number);
+            machines.emplace(id, makeMachine(id, pool, 0));
+        }
+    }
+    return machines;
+}
+
+std::size_t movesTo(const PoolDecision &decision, const std::string &pool)
+{
+    return static_cast<std::size_t>(std::count_if(decision.moves.begin(), decision.moves.end(), [&](const MoveMachine &move) {
+        return move.pool == pool;
+    }));
+}
+
+WorkerSession makeSession(const std::string &id, const std::string &rack)
+{
+    WorkerFacts facts;
+    facts.id = id;
+    facts.pool = "pool";
+    facts.rack = rack;
+    facts.labels = {"a", rack};
+    facts.capacity = Capacity;
+    return {facts, 1, LeaseTerms{}};
+}
+
+LiveRun makeRun(Resources demand, bool lasting = false)
+{
+    LiveRun run;
+    run.demand = demand;
+    run.lasting = lasting;
+    return run;
+}
+
+}
+
+// Load pattern: one queue asks for several times its pool's room.
+BOOST_AUTO_TEST_CASE(aSurgeIsServedFromTheStandbyPoolFirst)
+{
+    PoolPlan plan{PoolTimes{}};
+    const auto machines = makeMachines({{"surge", 2}, {"calm", 4}, {"rest", 4}});
+    std::map<std::string, PoolDemand> pools;
+    pools["surge"].used = {32000, 0, 0};
+    pools["surge"].backlog = {48000, 0, 0};
+    pools["calm"];
+    pools["rest"].standby = true;
+    // What has only just begun to wait counts not yet; the pool is given its spare machine.
+    BOOST_TEST(movesTo(plan.decide(machines, pools, Start), "surge") == 1U);
+    const PoolDecision decision = plan.decide(machines, pools, Start + 200ms);
+    BOOST_TEST(movesTo(decision, "surge") == 4U);
+    for (const MoveMachine &move : decision.moves) {
+        BOOST_TEST(move.machine.substr(0, 4) == "rest");
+    }
+}
+
+// Load pattern: a queue's surge follows another's at once.
+BOOST_AUTO_TEST_CASE(idleMachinesOfACalmPoolHelp)
+{
+    PoolPlan plan{PoolTimes{}};
+    const auto machines = makeMachines({{"surge", 1}, {"calm", 6}});
+    std::map<std::string, PoolDemand> pools;
+    pools["surge"].used = {16000, 0, 0};
+    pools["surge"].backlog = {64000, 0, 0};
+    pools["calm"];
+    plan.decide(machines, pools, Start);
+    const PoolDecision decision = plan.decide(machines, pools, Start + 200ms);
+    BOOST_TEST(movesTo(decision, "surge") == 5U);
+}
+
+// Load pattern: a pool keeps many half-used machines while another has work waiting.
+BOOST_AUTO_TEST_CASE(busyMachinesOfAPoolWithASurplusAreEmptied)
+{
+    PoolPlan plan{PoolTimes{}};
+    std::map<MachineId, MachineView> machines = makeMachines({{"surge", 1}, {"holder", 8}});
+    for (auto &[id, view] : machines) {
+        view.runs = 2;
+        view.emptyIn = id == "holder7" ? 100ms : 900ms;
+    }
+    std::map<std::string, PoolDemand> pools;
+    pools["surge"].used = {16000, 0, 0};
+    pools["surge"].backlog = {40000, 0, 0};
+    pools["holder"].used = {32000, 0, 0};
+    plan.decide(machines, pools, Start);
+    const PoolDecision decision = plan.decide(machines, pools, Start + 200ms);
+    BOOST_TEST(decision.moves.empty());
+    BOOST_REQUIRE(!decision.cordon.empty());
+    BOOST_TEST(decision.cordon.front() == "holder7");
+    BOOST_TEST(decision.cordon.size() <= 5U);
+}
+
+// Load pattern: all queues together ask for more than there is.
+BOOST_AUTO_TEST_CASE(aShortageIsShared)
+{
+    PoolPlan plan{PoolTimes{}};
+    std::map<MachineId, MachineView> machines = makeMachines({{"one", 8}, {"two", 2}});
+    for (auto &[id, view] : machines) {
+        view.runs = 3;
+    }
+    std::map<std::string, PoolDemand> pools;
+    pools["one"].used = {128000, 0, 0};
+    pools["one"].backlog = {160000, 0, 0};
+    pools["two"].used = {32000, 0, 0};
+    pools["two"].backlog = {256000, 0, 0};
+    plan.decide(machines, pools, Start);
+    const PoolDecision decision = plan.decide(machines, pools, Start + 200ms);
+    BOOST_TEST(decision.cordon.size() >= 2U);
+    BOOST_TEST(decision.cordon.size() <= 4U);
+}
+
+BOOST_AUTO_TEST_CASE(whatNobodyNeedsRestsAfterAWhile)
+{
+    PoolPlan plan{PoolTimes{}};
+    const auto machines = makeMachines({{"calm", 4}, {"rest", 1}});
+    std::map<std::string, PoolDemand> pools;
+    pools["calm"];
+    pools["rest"].standby = true;
+    BOOST_TEST(plan.decide(machines, pools, Start).moves.empty());
+    const PoolTimes times;
+    BOOST_TEST(movesTo(plan.decide(machines, pools, Start + times.idle + 100ms), "rest") == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(machinesWithLastingTasksStay)
+{
+    PoolPlan plan{PoolTimes{}};
+    std::map<MachineId, MachineView> machines = makeMachines({{"surge", 1}, {"calm", 3}});
+    for (auto &[id, view] : machines) {
+        view.runs = 1;
+        view.lasting = view.facts.pool == "calm" ? 1 : 0;
+    }
+    std::map<std::string, PoolDemand> pools;
+    pools["surge"].backlog = {64000, 0, 0};
+    pools["calm"];
+    plan.decide(machines, pools, Start);
+    const PoolDecision decision = plan.decide(machines, pools, Start + 200ms);
+    BOOST_TEST(decision.moves.empty());
+    BOOST_TEST(decision.cordon.empty());
+}
+
+BOOST_AUTO_TEST_CASE(aRefusedPoolIsNotTriedAgain)
+{
+    PoolPlan plan{PoolTimes{}};
+    const auto machines = makeMachines({{"surge", 1}, {"rest", 1}});
+    std::map<std::string, PoolDemand> pools;
+    pools["surge"].backlog = {64000, 0, 0};
+    pools["rest"].standby = true;
+    plan.noteInvalid({"rest0", "surge"});
+    plan.decide(machines, pools, Start);
+    BOOST_TEST(plan.decide(machines, pools, Start + 200ms).moves.empty());
+}
+
+BOOST_AUTO_TEST_CASE(aWaveNeverHasMoreOutThanItMay)
+{
+    WaveSpec spec{1, {}, 20000ms, 2};
+    std::map<MachineId, MachineView> machines = makeMachines({{"pool", 6}});
+    for (const auto &[id, view] : machines) {
+        spec.machines.push_back(id);
+    }
+    WavePlan wave(spec, WaveTimes{}, Start);
+    WaveDecision decision = wave.decide(machines, {}, Start);
+    BOOST_TEST(decision.maintain.size() == 2U);
+    for (const MaintainMachine &order : decision.maintain) {
+        wave.noteDone(order.machine, Start);
+    }
+    BOOST_TEST(wave.decide(machines, {}, Start + 100ms).maintain.empty());
+    // Other orders count as out too, until the list says otherwise.
+    const WaveTimes times;
+    const BootTime later = Start + times.maintenance + 1000ms;
+    machines.at("pool5").ordered = true;
+    BOOST_TEST(wave.decide(machines, {}, later).maintain.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(aWaveBeginsWithLastingTasksAndEndsInTime)
+{
+    WaveSpec spec{1, {"pool0", "pool1", "pool2"}, 12000ms, 3};
+    std::map<MachineId, MachineView> machines = makeMachines({{"pool", 9}});
+    for (auto &[id, view] : machines) {
+        view.runs = 4;
+    }
+    machines.at("pool1").lasting = 2;
+    WavePlan wave(spec, WaveTimes{}, Start);
+    const WaveDecision first = wave.decide(machines, {}, Start);
+    BOOST_TEST(first.maintain.empty());
+    BOOST_REQUIRE(!first.evacuate.empty());
+    BOOST_TEST(first.evacuate.front() == "pool1");
+    BOOST_TEST(first.due.size() == 3U);
+    // Near the end runs are not waited for, but lasting ones are.
+    const WaveDecision last = wave.decide(machines, {}, Start + 11000ms);
+    BOOST_TEST(last.maintain.size() == 2U);
+    for (const MaintainMachine &order : last.maintain) {
+        BOOST_TEST(order.machine != "pool1");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(aWaveIsCompleteWithoutTheMachinesThatLeft)
+{
+    const WaveSpec spec{7, {"pool0", "gone"}, 12000ms, 1};
+    const auto machines = makeMachines({{"pool", 1}});
+    WavePlan wave(spec, WaveTimes{}, Start);
+    BOOST_TEST(!wave.decide(machines, {}, Start).completed);
+    wave.noteDone("pool0", Start);
+    BOOST_TEST(wave.decide(machines, {}, Start + 100ms).completed);
+    // A successor goes on from the record.
+    WavePlan next(spec, WaveTimes{}, Start + 5000ms);
+    next.restore(wave.record());
+    BOOST_TEST(next.decide(machines, {}, Start + 5000ms).completed);
+}
+
+// Load pattern: a worker fails all that it starts and looks the least loaded for it.
+BOOST_AUTO_TEST_CASE(workersThatFailEverythingAreTakenLast)
+{
+    WorkerSession good = makeSession("good", "r1-1");
+    WorkerSession bad = makeSession("bad", "r1-1");
+    good.addRun({"job", {}}, makeRun({12000, 1000, 0}));
+    bad.noteFailure();
+    bad.noteFailure();
+    std::vector<PlacementCandidate> candidates{{&bad, false, false}, {&good, false, false}};
+    std::vector<PlacementCandidate *> open{&candidates[0], &candidates[1]};
+    PlacementRequest request;
+    request.demand = {2000, 1000, 0};
+    BOOST_TEST(choosePlacement(request, open)->session->facts().id == "good");
+    request.demand = {6000, 1000, 0};
+    BOOST_TEST(choosePlacement(request, open)->session->facts().id == "bad");
+}
+
+BOOST_AUTO_TEST_CASE(placementKeepsLabelsSpreadAndRoom)
+{
+    WorkerSession one = makeSession("one", "r1-1");
+    WorkerSession two = makeSession("two", "r1-2");
+    std::vector<PlacementCandidate> candidates{{&one, false, false}, {&two, false, false}};
+    std::vector<PlacementCandidate *> open{&candidates[0], &candidates[1]};
+    PlacementRequest request;
+    request.demand = {1000, 1000, 0};
+    request.requiredLabel = "r1-2";
+    BOOST_TEST(choosePlacement(request, open)->session->facts().id == "two");
+    request.requiredLabel = "none";
+    BOOST_TEST((choosePlacement(request, open) == nullptr));
+    request.requiredLabel = "";
+    request.perWorkerMax = 1;
+    request.siblingsByWorker["one"] = 1;
+    BOOST_TEST(choosePlacement(request, open)->session->facts().id == "two");
+    request.siblingsByWorker["two"] = 1;
+    BOOST_TEST((choosePlacement(request, open) == nullptr));
+    request.perWorkerMax = 0;
+    request.nearRacks = {"r1-2"};
+    BOOST_TEST(choosePlacement(request, open)->session->facts().id == "two");
+    request.demand = {17000, 1000, 0};
+    BOOST_TEST((choosePlacement(request, open) == nullptr));
+}
+
+// Load pattern: demand comes by turns, and machines in pools are paid for.
+BOOST_AUTO_TEST_CASE(workersInUseAreFilledFirst)
+{
+    WorkerSession idle = makeSession("idle", "r1-1");
+    WorkerSession used = makeSession("used", "r1-1");
+    WorkerSession bound = makeSession("bound", "r1-1");
+    used.addRun({"job", {}}, makeRun({8000, 1000, 0}));
+    bound.addRun({"lasts", {}}, makeRun({6000, 1000, 0}, true));
+    std::vector<PlacementCandidate> candidates{{&idle, false, false}, {&used, false, false}, {&bound, false, false}};
+    std::vector<PlacementCandidate *> open{&candidates[0], &candidates[1], &candidates[2]};
+    PlacementRequest request;
+    request.demand = {1000, 1000, 0};
+    BOOST_TEST(choosePlacement(request, open)->session->facts().id == "bound");
+    open.pop_back();
+    BOOST_TEST(choosePlacement(request, open)->session->facts().id == "used");
+}
+
+BOOST_AUTO_TEST_CASE(lastingTasksOfAStepAreSpreadAndKeptOffLeavingMachines)
+{
+    WorkerSession one = makeSession("one", "r1-1");
+    WorkerSession two = makeSession("two", "r1-2");
+    std::vector<PlacementCandidate> candidates{{&one, false, false}, {&two, false, false}};
+    std::vector<PlacementCandidate *> open{&candidates[0], &candidates[1]};
+    PlacementRequest request;
+    request.demand = {1000, 1000, 0};
+    request.lasting = true;
+    request.siblingsByWorker["one"] = 1;
+    request.siblingsByRack["r1-1"] = 1;
+    BOOST_TEST(choosePlacement(request, open)->session->facts().id == "two");
+    candidates[1].leaving = true;
+    BOOST_TEST(choosePlacement(request, open)->session->facts().id == "one");
+}
+
+// Load pattern: more jobs than can be in time.
+BOOST_AUTO_TEST_CASE(jobsInTimeGoBeforeLateOnesAndBringMostFirst)
+{
+    JobOutlook small{Start, Start + 2000ms, 500, 1000, 1000};
+    JobOutlook large{Start, Start + 2000ms, 500, 9000, 9000};
+    BOOST_TEST(valueDensity(small) > valueDensity(large));
+    JobOutlook nearlyDone = large;
+    nearlyDone.workLeft = 500;
+    BOOST_TEST(valueDensity(nearlyDone) > valueDensity(small));
+    BOOST_TEST(!isLate(small, Start + 1000ms));
+    BOOST_TEST(isLate(small, Start + 1600ms));
+
+    JobUrgency inTime{false, false, 0, false, 1.0, Start + 500ms};
+    JobUrgency late{false, false, 0, true, 9.0, Start};
+    JobUrgency later{false, false, 0, true, 0.1, Start - 100ms};
+    JobUrgency beyond{false, true, 0, false, 9.0, Start};
+    JobUrgency lasting{true, false, 0, true, 0.1, Start + 900ms};
+    JobUrgency lowPriority{false, false, 1, false, 9.0, Start};
+    std::vector<JobUrgency> line{lowPriority, beyond, late, later, inTime, lasting};
+    std::sort(line.begin(), line.end());
+    BOOST_TEST(line[0].lasting);
+    BOOST_TEST((line[1].receivedAt == inTime.receivedAt));
+    // Late jobs are served in their order, whatever they bring.
+    BOOST_TEST((line[2].receivedAt == later.receivedAt));
+    BOOST_TEST((line[3].receivedAt == late.receivedAt && line[3].late));
+    BOOST_TEST(line[4].beyondAgreement);
+    BOOST_TEST(line[5].priority == 1U);
+}
