Call machines for the work that comes in, and pack lasting tasks by two

Cause: in a surge machines came only after the pool was full and work had waited; with 1.5 s a move, the first jobs were late. Lasting tasks held four machines a pool. Ruled out: starting work while the store is away (a successor could not know of it). Change: the rate of incoming work times its length is what a pool is to have; two tasks of a lasting step may share a worker.

--- a/libs/jobnode/src/machinekeeper.cpp
+++ b/libs/jobnode/src/machinekeeper.cpp
@@ -203,6 +203,7 @@
         PoolDemand demand;
         demand.standby = pool.standby;
         demand.backlog = m_scheduler.backlogOf(name);
+        demand.offered = m_scheduler.offeredTo(name, now);
         pools.emplace(name, demand);
     }
     for (const auto &[name, counts] : m_scheduler.poolCounts(now)) {
--- a/libs/scheduling/include/scheduling/poolplan.h
+++ b/libs/scheduling/include/scheduling/poolplan.h
@@ -16,6 +16,8 @@
     Resources used;
     /** Of work that is ready, finds no room and can still be in time. */
     Resources backlog;
+    /** What the work that comes in keeps busy once it runs: its rate times its length. */
+    Resources offered;
     bool standby = false;
 };
 
@@ -43,7 +45,8 @@
  * Decides which machines change their pool.
  *
  * Answers the load pattern "each queue in turn asks for several times its mean": each pool is to have
- * what its runs and its waiting work need; when all pools together need more than there is, each gets
+ * what its runs and its waiting work need, or what comes in will need, so that machines are on their
+ * way before the pool is full; when all pools together need more than there is, each gets
  * its part. Machines come from the standby pool, from those that are idle, and from pools that have
  * more than they need, where the ones that are empty soonest take no new work. What nobody needs goes
  * to the standby pool. Pure; remembers the recent past only.
--- a/libs/scheduling/include/scheduling/scheduler.h
+++ b/libs/scheduling/include/scheduling/scheduler.h
@@ -195,6 +195,8 @@
     std::map<std::string, PoolCounts> poolCounts(BootTime now) const;
     /** What each account has running. */
     const std::map<std::string, Resources> &usedByAccount() const;
+    /** What the work that comes in for @p pool keeps busy once it runs, by the submitters' estimates. */
+    Resources offeredTo(const std::string &pool, BootTime now) const;
     /** Workers with runs that cannot be reached, and how long their leases may still last. */
     std::map<WorkerId, std::chrono::milliseconds> silentWorkers(BootTime now) const;
     /** Work of @p pool that is ready, finds no room and can still be in time. */
--- a/libs/scheduling/src/details/schedulerimpl.h
+++ b/libs/scheduling/src/details/schedulerimpl.h
@@ -4,6 +4,7 @@
 #include "scheduling/placement.h"
 #include "scheduling/scheduler.h"
 
+#include <deque>
 #include <map>
 #include <set>
 #include <unordered_map>
@@ -54,6 +55,34 @@
     bool started = false;
 };
 
+/** Work that came in recently, in resources times milliseconds. */
+class ArrivalWindow
+{
+public:
+    void add(const Resources &work, BootTime now)
+    {
+        m_entries.emplace_back(now, work);
+        while (now - m_entries.front().first > Length) {
+            m_entries.pop_front();
+        }
+    }
+
+    Resources rate(BootTime now) const
+    {
+        Resources sum;
+        for (const auto &[at, work] : m_entries) {
+            sum += now - at <= Length ? work : Resources{};
+        }
+        const std::int64_t length = Length.count();
+        return {sum.cpu / length, sum.memory / length, sum.gpu / length};
+    }
+
+private:
+    // Long enough for a dozen jobs of a surge, short enough to see it before the pool is full.
+    static constexpr std::chrono::milliseconds Length{700};
+    std::deque<std::pair<BootTime, Resources>> m_entries;
+};
+
 /** A pool's workers during one pass over waiting jobs. */
 struct PoolRoom {
     std::vector<PlacementCandidate> all;
@@ -79,6 +108,7 @@
     std::map<std::string, Resources> accountUsed;
     std::map<std::string, SubmissionBucket> buckets;
     std::map<std::string, Resources> backlog;
+    std::map<std::string, ArrivalWindow> arrivals;
     std::map<std::pair<JobId, std::pair<std::uint32_t, std::uint32_t>>, StepAdvice> advice;
     std::size_t adviceInFlight = 0;
 
@@ -102,6 +132,7 @@
     JobEntry *findEntry(const JobId &job);
     void refreshOutlook(JobEntry &entry);
     void closeRuns(JobEntry &entry);
+    void noteArrival(const JobEntry &entry, BootTime now);
     void notice(std::string_view event, const TaskName &task, std::uint32_t run, const WorkerId &worker, std::string detail = {});
 
     // Runs.
--- a/libs/scheduling/src/placement.cpp
+++ b/libs/scheduling/src/placement.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/placement.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace Cornelquay {
@@ -12,7 +13,7 @@
 constexpr double FailedTaskWeight = 3000;
 constexpr double FarWeight = 1500;
 constexpr double SameRackWeight = 60;
-constexpr double SameWorkerWeight = 700;
+constexpr double SameWorkerWeight = 250;
 constexpr double BoundBonus = 400;
 constexpr double LeavingWeight = 2500;
 constexpr double DisturbanceWeight = 600;
@@ -40,7 +41,7 @@
         sum += FarWeight;
     }
     if (request.lasting) {
-        sum += SameRackWeight * countOf(request.siblingsByRack, facts.rack) + SameWorkerWeight * countOf(request.siblingsByWorker, facts.id);
+        sum += SameRackWeight * countOf(request.siblingsByRack, facts.rack) + SameWorkerWeight * std::pow(countOf(request.siblingsByWorker, facts.id), 2);
         sum += candidate.leaving ? LeavingWeight : 0;
     }
     // Workers that cannot be switched off anyway are used first.
--- a/libs/scheduling/src/poolplan.cpp
+++ b/libs/scheduling/src/poolplan.cpp
@@ -11,6 +11,8 @@
 constexpr std::size_t SpareMachines = 1;
 // A pool gets one more machine once its work fills this much of it.
 constexpr double FillOfLast = 0.3;
+// Estimates of what comes in are rough; that part of them is prepared for.
+constexpr double OfferedPart = 0.9;
 // Moves in one decision; the next one sees what they did.
 constexpr std::size_t MovesAtOnce = 12;
 
@@ -116,7 +118,8 @@
         if (demand.standby) {
             continue;
         }
-        const double machinesNeeded = machinesFor(waited ? demand.used + demand.backlog : demand.used, size);
+        const double present = machinesFor(waited ? demand.used + demand.backlog : demand.used, size);
+        const double machinesNeeded = std::max(present, OfferedPart * machinesFor(demand.offered, size));
         const auto needed = static_cast<std::size_t>(std::max(0.0, std::ceil(machinesNeeded - FillOfLast)));
         balance.want = std::max(needed, balance.bound) + SpareMachines;
         asked += static_cast<double>(balance.want);
--- a/libs/scheduling/src/scheduler.cpp
+++ b/libs/scheduling/src/scheduler.cpp
@@ -78,6 +78,18 @@
         = outlook.receivedAt + std::chrono::milliseconds(static_cast<std::int64_t>(terms.stretch * static_cast<double>(chainAll)) + terms.slackMs);
 }
 
+void Scheduler::Impl::noteArrival(const JobEntry &entry, BootTime now)
+{
+    if (entry.lasting) {
+        return;
+    }
+    Resources work;
+    for (const StepSpec &step : entry.job.record().spec.steps) {
+        work += step.demand * step.estimateMs * step.count;
+    }
+    arrivals[entry.job.record().terms.pool].add(work, now);
+}
+
 Scheduler::Scheduler(SchedulerTimes times, std::uint64_t epoch, BootTime now)
     : m_impl(std::make_unique<Impl>(times, epoch, now))
 {
@@ -236,6 +248,7 @@
         entry.job.openOccurrence();
     }
     impl.refreshOutlook(entry);
+    impl.noteArrival(entry, now);
     impl.markDirty(entry);
     impl.notice("job-received", {id, {}}, 0, {}, entry.job.record().queue);
     return {SubmitOutcome::Kind::Added, impl.gate(), {}};
@@ -397,6 +410,12 @@
     }
 }
 
+Resources Scheduler::offeredTo(const std::string &pool, BootTime now) const
+{
+    const auto found = m_impl->arrivals.find(pool);
+    return found == m_impl->arrivals.end() ? Resources{} : found->second.rate(now);
+}
+
 std::map<std::string, PoolCounts> Scheduler::poolCounts(BootTime now) const
 {
     std::map<std::string, PoolCounts> pools;
