Spread a job's work over its length when machines are called for it; rest later

Cause: one large job in 0.7 s looked like a surge, so machines came and went for nothing. Ruled out: a longer window for all jobs, which sees a surge of short ones too late. Change: each job's work counts as what it keeps busy over its own length; a machine rests after 2.3 s, which is what two moves cost against a machine in a pool.

--- a/libs/scheduling/include/scheduling/poolplan.h
+++ b/libs/scheduling/include/scheduling/poolplan.h
@@ -26,7 +26,7 @@
     /** From the order until the machine works in its new pool. */
     std::chrono::milliseconds move{1500};
     /** A machine that had nothing to do for this long is not needed where it is. */
-    std::chrono::milliseconds idle{1200};
+    std::chrono::milliseconds idle{2300};
     /** Work that waits for this long is not served by the next runs that end. */
     std::chrono::milliseconds waiting{150};
     /** Least time between two moves of one machine. */
--- a/libs/scheduling/src/details/schedulerimpl.h
+++ b/libs/scheduling/src/details/schedulerimpl.h
@@ -4,7 +4,6 @@
 #include "scheduling/placement.h"
 #include "scheduling/scheduler.h"
 
-#include <deque>
 #include <map>
 #include <set>
 #include <unordered_map>
@@ -55,32 +54,38 @@
     bool started = false;
 };
 
-/** Work that came in recently, in resources times milliseconds. */
+/** Work that came in recently, as what it keeps busy: each job's work, spread over the job's length. */
 class ArrivalWindow
 {
 public:
-    void add(const Resources &work, BootTime now)
+    /** @p work is in resources times milliseconds. */
+    void add(const Resources &work, std::chrono::milliseconds length, BootTime now)
     {
-        m_entries.emplace_back(now, work);
-        while (now - m_entries.front().first > Length) {
-            m_entries.pop_front();
-        }
+        const std::int64_t spread = std::max(LengthLeast, length).count();
+        m_entries.push_back({now + std::max(LengthLeast, length), {work.cpu / spread, work.memory / spread, work.gpu / spread}});
+        std::erase_if(m_entries, [now](const Entry &entry) {
+            return entry.until < now;
+        });
     }
 
-    Resources rate(BootTime now) const
+    Resources load(BootTime now) const
     {
         Resources sum;
-        for (const auto &[at, work] : m_entries) {
-            sum += now - at <= Length ? work : Resources{};
+        for (const Entry &entry : m_entries) {
+            sum += entry.until >= now ? entry.load : Resources{};
         }
-        const std::int64_t length = Length.count();
-        return {sum.cpu / length, sum.memory / length, sum.gpu / length};
+        return sum;
     }
 
 private:
-    // Long enough for a dozen jobs of a surge, short enough to see it before the pool is full.
-    static constexpr std::chrono::milliseconds Length{700};
-    std::deque<std::pair<BootTime, Resources>> m_entries;
+    struct Entry {
+        BootTime until{};
+        Resources load;
+    };
+
+    // Shorter jobs are spread over this time, in which a dozen jobs of a surge come.
+    static constexpr std::chrono::milliseconds LengthLeast{700};
+    std::vector<Entry> m_entries;
 };
 
 /** A pool's workers during one pass over waiting jobs. */
--- a/libs/scheduling/src/scheduler.cpp
+++ b/libs/scheduling/src/scheduler.cpp
@@ -87,7 +87,7 @@
     for (const StepSpec &step : entry.job.record().spec.steps) {
         work += step.demand * step.estimateMs * step.count;
     }
-    arrivals[entry.job.record().terms.pool].add(work, now);
+    arrivals[entry.job.record().terms.pool].add(work, std::chrono::milliseconds(entry.outlook.chainLeftMs), now);
 }
 
 Scheduler::Scheduler(SchedulerTimes times, std::uint64_t epoch, BootTime now)
@@ -413,7 +413,7 @@
 Resources Scheduler::offeredTo(const std::string &pool, BootTime now) const
 {
     const auto found = m_impl->arrivals.find(pool);
-    return found == m_impl->arrivals.end() ? Resources{} : found->second.rate(now);
+    return found == m_impl->arrivals.end() ? Resources{} : found->second.load(now);
 }
 
 std::map<std::string, PoolCounts> Scheduler::poolCounts(BootTime now) const
--- a/libs/timing/include/timing/instant.h
+++ b/libs/timing/include/timing/instant.h
@@ -20,7 +20,8 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<BootClock>;
-    static constexpr bool is_steady = true;
+    // The standard names it so.
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming)
 
     static time_point now();
 };
