Follow an earlier life of the same node at once, and hand over what machines were ordered about

Cause: after all processes were killed every node waited out 2 s of silence of an owner whose own next life knew better; after each planned hand-over no machine could be moved for 3.2 s. Tasks that stood still were waited for. Ruled out: a shorter silence for all, which takes over for each slow answer of the store. Change: a node claims at once when the owner in the log is an earlier life of it; a released ownership names machines that were ordered about in the last 3.2 s, and workers older than 8 s show that theirs were not; a task whose percentage stands for 1.8 s of listings is stopped and placed elsewhere.

--- a/libs/jobnode/include/jobnode/machinekeeper.h
+++ b/libs/jobnode/include/jobnode/machinekeeper.h
@@ -22,6 +22,15 @@
     std::chrono::milliseconds handOver{3200};
 };
 
+/** When an owner may give its first order for each machine, after those of its predecessor. */
+struct MachineHandOver {
+    /** All of the predecessor's recent orders are known. */
+    bool isExact = false;
+    std::map<MachineId, BootTime> heldUntil;
+    /** For machines of which nothing is known. */
+    BootTime restFrom{};
+};
+
 /**
  * Keeps the machines: gives each pool what it needs and carries out waves of maintenance. Part of a
  * reign; driven by its pump. Lives on the node's thread.
@@ -29,8 +38,7 @@
 class MachineKeeper : public std::enable_shared_from_this<MachineKeeper>
 {
 public:
-    /** @p actsFrom is when this owner may give its first order. */
-    MachineKeeper(MachinePort &port, Scheduler &scheduler, MachineTimes times, std::uint64_t epoch, BootTime actsFrom, Metrics &metrics);
+    MachineKeeper(MachinePort &port, Scheduler &scheduler, MachineTimes times, std::uint64_t epoch, MachineHandOver handOver, Metrics &metrics);
 
     // Commands.
     void addWave(const WaveSpec &spec, BootTime seenAt);
@@ -38,6 +46,8 @@
     /** Reads the list and gives orders, as far as they are due. */
     void advance(BootTime now, const FleetPolicy &policy, bool mayAct);
     void end();
+    /** Machines that were ordered about within the time of a hand-over, and how long ago. */
+    std::map<MachineId, std::int64_t> recentOrders() const;
     /** Records that changed since the last call, for storing. */
     std::vector<WaveRecord> takeChanged();
 
@@ -45,6 +55,7 @@
     void refresh(BootTime now);
     void readPage(const std::string &token);
     std::map<MachineId, MachineView> viewMachines(BootTime now) const;
+    bool mayOrder(const MachineFacts &facts, BootTime now) const;
     void decideWaves(const std::map<MachineId, MachineView> &views, BootTime now);
     void decidePools(const std::map<MachineId, MachineView> &views, const FleetPolicy &policy, BootTime now);
     void give(const MachineOrder &order, BootTime now);
@@ -55,7 +66,7 @@
     Scheduler &m_scheduler;
     const MachineTimes m_times;
     const std::uint64_t m_epoch;
-    const BootTime m_actsFrom;
+    const MachineHandOver m_handOver;
     Counter m_movesTotal;
     Counter m_maintenanceTotal;
     PoolPlan m_pools;
@@ -67,6 +78,8 @@
     std::map<MachineId, MachineFacts> m_reading;
     /** Orders under way or so recent that the list may not show them. */
     std::map<MachineId, BootTime> m_orderedAt;
+    /** When each machine was last ordered about, taken or not. */
+    std::map<MachineId, BootTime> m_givenAt;
     std::set<MachineId> m_inFlight;
     std::vector<WorkerId> m_cordoned;
     BootTime m_listedAt{};
--- a/libs/jobnode/include/jobnode/ports.h
+++ b/libs/jobnode/include/jobnode/ports.h
@@ -46,10 +46,12 @@
     bool released = false;
     /** Workers with runs that the owner cannot reach, and what may be left of their leases, in milliseconds. */
     std::map<WorkerId, std::int64_t> silentWorkers;
+    /** Written on release: machines that were ordered about recently, and how long ago, in milliseconds. */
+    std::map<MachineId, std::int64_t> recentMachineOrders;
 
     auto fields()
     {
-        return std::tie(node, life, address, epoch, released, silentWorkers);
+        return std::tie(node, life, address, epoch, released, silentWorkers, recentMachineOrders);
     }
 };
 
--- a/libs/jobnode/include/jobnode/reign.h
+++ b/libs/jobnode/include/jobnode/reign.h
@@ -47,7 +47,8 @@
     using Responder = std::function<void(JobAnswer answer)>;
 
     /** @p onDeposed is called once, when another owner is seen. */
-    Reign(ReignContext context, std::uint64_t epoch, PredecessorLeases predecessor, std::function<void(std::string reason)> onDeposed);
+    Reign(
+        ReignContext context, std::uint64_t epoch, PredecessorLeases predecessor, MachineHandOver handOver, std::function<void(std::string reason)> onDeposed);
     ~Reign();
 
     // Commands.
@@ -67,6 +68,7 @@
     // Queries.
     /** For the ownership log. */
     std::map<WorkerId, std::int64_t> silentWorkers() const;
+    std::map<MachineId, std::int64_t> recentMachineOrders() const;
     bool isServing() const;
     std::uint64_t epoch() const;
     const Scheduler &scheduler() const;
--- a/libs/jobnode/src/jobnode.cpp
+++ b/libs/jobnode/src/jobnode.cpp
@@ -84,6 +84,8 @@
     BootTime predecessorHeardAt{};
     /** Workers that successors may take for silent. */
     std::map<WorkerId, std::int64_t> published;
+    /** Of the reign that was ended last. */
+    std::map<MachineId, std::int64_t> recentOrders;
     /** The latest epoch of this life that is over. */
     std::uint64_t endedEpoch = 0;
     bool claiming = false;
@@ -102,6 +104,9 @@
     void heartbeat();
     OwnershipRecord ownRecord() const;
     PredecessorLeases predecessorLeases() const;
+    MachineHandOver machineHandOver() const;
+    /** The former owner was an earlier life of this node, which is over. */
+    bool isFormerSelf(const OwnershipRecord &record) const;
     bool isOwn(const OwnershipRecord &record) const;
     void dialOwner();
     void handle(const JobCall &call, const Responder &respond);
@@ -219,7 +224,8 @@
         }
         return;
     }
-    if (view.shouldClaim(now)) {
+    const bool follows = view.isKnown() && view.owner() && isFormerSelf(*view.owner()) && !view.owner()->released;
+    if (follows || view.shouldClaim(now)) {
         claim();
         return;
     }
@@ -253,14 +259,37 @@
     const LeaseTerms &terms = settings.times.lease;
     const auto longest = std::chrono::duration_cast<std::chrono::milliseconds>(terms.most * (1.0 + terms.clockSlowness)) + terms.margin;
     const std::chrono::milliseconds ago = BootClock::now() - predecessorHeardAt;
-    const std::chrono::milliseconds extends = predecessor->released ? 0ms : std::chrono::milliseconds(settings.ownership.leaseFreshness);
-    leases.rest = std::max<std::chrono::milliseconds>(0ms, extends + longest - ago);
+    const std::chrono::milliseconds extends
+        = predecessor->released || isFormerSelf(*predecessor) ? 0ms : std::chrono::milliseconds(settings.ownership.leaseFreshness);
+    // An earlier life may have extended leases until this one began.
+    const std::chrono::milliseconds since = isFormerSelf(*predecessor) && !predecessor->released ? 0ms : ago;
+    leases.rest = std::max<std::chrono::milliseconds>(0ms, extends + longest - since);
     for (const auto &[worker, left] : predecessor->silentWorkers) {
         leases.silent[worker] = std::max<std::chrono::milliseconds>(0ms, std::chrono::milliseconds(left) - ago);
     }
     return leases;
 }
 
+bool JobNode::Impl::isFormerSelf(const OwnershipRecord &record) const
+{
+    return record.node == settings.name && record.life != life;
+}
+
+MachineHandOver JobNode::Impl::machineHandOver() const
+{
+    const BootTime now = BootClock::now();
+    MachineHandOver handOver;
+    // The first owner of all follows nobody, and a node goes on with its own orders under a higher token.
+    handOver.isExact = !predecessor || predecessor->released || predecessor->node == settings.name;
+    handOver.restFrom = now + settings.machineTimes.handOver;
+    if (predecessor && predecessor->node != settings.name) {
+        for (const auto &[machine, ago] : predecessor->recentMachineOrders) {
+            handOver.heldUntil[machine] = predecessorHeardAt + settings.machineTimes.handOver - std::chrono::milliseconds(ago);
+        }
+    }
+    return handOver;
+}
+
 bool JobNode::Impl::isOwn(const OwnershipRecord &record) const
 {
     return record.node == settings.name && record.life == life;
@@ -296,6 +325,7 @@
     reign = std::make_shared<Reign>(ReignContext{io, store, workers, registry, machines, metrics, settings.times, settings.ownership, settings.machineTimes},
                                     epoch,
                                     predecessorLeases(),
+                                    machineHandOver(),
                                     [weak = weak_from_this()](const std::string &reason) {
                                         if (const auto self = weak.lock()) {
                                             self->endReign(reason);
@@ -439,8 +469,10 @@
             onDone();
             return;
         }
+        self->recentOrders = self->reign->recentMachineOrders();
         OwnershipRecord record = self->ownRecord();
         record.released = true;
+        record.recentMachineOrders = self->recentOrders;
         self->endReign("released");
         self->store.claimOwnership(record, self->view.end(), [onDone](const tl::expected<std::uint64_t, StoreFailure> &offset) {
             logChange("owner", "released", {{"result", offset ? "stored" : std::string(toName(offset.error()))}});
--- a/libs/jobnode/src/machinekeeper.cpp
+++ b/libs/jobnode/src/machinekeeper.cpp
@@ -16,6 +16,8 @@
 constexpr auto ListAgeMost = 2500ms;
 // Until the list shows what an order did.
 constexpr auto OrderShows = 2300ms;
+// Older than the time of a hand-over by more than clocks differ.
+constexpr std::chrono::milliseconds OldWorker{8000};
 // Of a run that has not shown any progress yet.
 constexpr auto UnknownRemaining = 1500ms;
 
@@ -30,12 +32,12 @@
 
 }
 
-MachineKeeper::MachineKeeper(MachinePort &port, Scheduler &scheduler, MachineTimes times, std::uint64_t epoch, BootTime actsFrom, Metrics &metrics)
+MachineKeeper::MachineKeeper(MachinePort &port, Scheduler &scheduler, MachineTimes times, std::uint64_t epoch, MachineHandOver handOver, Metrics &metrics)
     : m_port(port)
     , m_scheduler(scheduler)
     , m_times(times)
     , m_epoch(epoch)
-    , m_actsFrom(actsFrom)
+    , m_handOver(std::move(handOver))
     , m_movesTotal(metrics.counter("machine_moves_total", "Moves of machines between pools"))
     , m_maintenanceTotal(metrics.counter("machine_maintenance_total", "Maintenance of machines begun"))
     , m_pools(times.pools)
@@ -90,11 +92,10 @@
     if (m_machines.empty() || now - m_listedAt > ListAgeMost) {
         return;
     }
-    const bool acts = mayAct && now >= m_actsFrom;
     std::map<MachineId, MachineView> views = viewMachines(now);
     std::vector<WorkerId> cordoned;
     std::swap(m_cordoned, cordoned);
-    if (acts) {
+    if (mayAct) {
         decideWaves(views, now);
         // What a wave has just ordered is not moved.
         views = viewMachines(now);
@@ -138,6 +139,34 @@
     });
 }
 
+std::map<MachineId, std::int64_t> MachineKeeper::recentOrders() const
+{
+    const BootTime now = BootClock::now();
+    std::map<MachineId, std::int64_t> recent;
+    for (const auto &[machine, givenAt] : m_givenAt) {
+        if (now - givenAt < m_times.handOver) {
+            recent[machine] = (now - givenAt).count();
+        }
+    }
+    return recent;
+}
+
+// Two owners' orders for one machine must be apart. A worker that has lived for long shows that its
+// machine was not ordered about meanwhile.
+bool MachineKeeper::mayOrder(const MachineFacts &facts, BootTime now) const
+{
+    const auto held = m_handOver.heldUntil.find(facts.id);
+    if (held != m_handOver.heldUntil.end() && now < held->second) {
+        return false;
+    }
+    if (m_handOver.isExact || now >= m_handOver.restFrom) {
+        return true;
+    }
+    const WorkerSession *worker = facts.worker.empty() ? nullptr : m_scheduler.findWorker(facts.worker);
+    const std::int64_t bornMs = worker == nullptr ? 0 : worker->facts().bornMs;
+    return bornMs != 0 && toUnixMilliseconds(wallNow()) - bornMs > OldWorker.count();
+}
+
 std::map<MachineId, MachineView> MachineKeeper::viewMachines(BootTime now) const
 {
     std::map<MachineId, MachineView> views;
@@ -145,7 +174,7 @@
         MachineView view;
         view.facts = facts;
         const auto ordered = m_orderedAt.find(id);
-        view.ordered = m_inFlight.count(id) != 0 || (ordered != m_orderedAt.end() && now - ordered->second < OrderShows);
+        view.ordered = !mayOrder(facts, now) || m_inFlight.count(id) != 0 || (ordered != m_orderedAt.end() && now - ordered->second < OrderShows);
         if (const WorkerSession *worker = facts.worker.empty() ? nullptr : m_scheduler.findWorker(facts.worker)) {
             view.usable = worker->isRegistered() && worker->isReachable() && worker->facts().state == WorkerState::Ready;
             view.runs = worker->runs().size();
@@ -241,6 +270,7 @@
     const WorkerId worker = m_machines.at(machine).worker;
     m_inFlight.insert(machine);
     m_orderedAt[machine] = now;
+    m_givenAt[machine] = now;
     m_port.order(order, m_epoch, [self = shared_from_this(), order, worker](const MachineResult &result) {
         if (!self->m_ended) {
             self->noteResult(order, worker, result);
--- a/libs/jobnode/src/reign.cpp
+++ b/libs/jobnode/src/reign.cpp
@@ -56,7 +56,11 @@
 }
 
 struct Reign::Impl : public std::enable_shared_from_this<Reign::Impl> {
-    Impl(ReignContext givenContext, std::uint64_t givenEpoch, PredecessorLeases predecessor, std::function<void(std::string)> givenOnDeposed)
+    Impl(ReignContext givenContext,
+         std::uint64_t givenEpoch,
+         PredecessorLeases predecessor,
+         MachineHandOver handOver,
+         std::function<void(std::string)> givenOnDeposed)
         : context(std::move(givenContext))
         , epoch(givenEpoch)
         , onDeposed(std::move(givenOnDeposed))
@@ -72,6 +76,7 @@
         , reachableWorkers(context.metrics.gauge("workers_reachable", "Workers that answer"))
     {
         scheduler.setPredecessor(std::move(predecessor));
+        machines = std::make_shared<MachineKeeper>(context.machines, scheduler, context.machineTimes, epoch, std::move(handOver), context.metrics);
     }
 
     ReignContext context;
@@ -634,8 +639,9 @@
     answers.push_back({batch, std::move(answer), call.deadlineMs, call.job, std::move(respond)});
 }
 
-Reign::Reign(ReignContext context, std::uint64_t epoch, PredecessorLeases predecessor, std::function<void(std::string reason)> onDeposed)
-    : m_impl(std::make_shared<Impl>(std::move(context), epoch, std::move(predecessor), std::move(onDeposed)))
+Reign::Reign(
+    ReignContext context, std::uint64_t epoch, PredecessorLeases predecessor, MachineHandOver handOver, std::function<void(std::string reason)> onDeposed)
+    : m_impl(std::make_shared<Impl>(std::move(context), epoch, std::move(predecessor), std::move(handOver), std::move(onDeposed)))
 {
 }
 
@@ -650,10 +656,6 @@
     Impl &impl = *m_impl;
     const BootTime now = BootClock::now();
     impl.freshAt = now;
-    // The first owner of all follows nobody.
-    const BootTime actsFrom = impl.epoch == 1 ? now : now + impl.context.machineTimes.handOver;
-    impl.machines
-        = std::make_shared<MachineKeeper>(impl.context.machines, impl.scheduler, impl.context.machineTimes, impl.epoch, actsFrom, impl.context.metrics);
     impl.fence();
 }
 
@@ -722,6 +724,11 @@
     return silent;
 }
 
+std::map<MachineId, std::int64_t> Reign::recentMachineOrders() const
+{
+    return m_impl->machines->recentOrders();
+}
+
 bool Reign::isServing() const
 {
     return m_impl->serving;
--- a/libs/scheduling/include/scheduling/workersession.h
+++ b/libs/scheduling/include/scheduling/workersession.h
@@ -116,6 +116,7 @@
     /** Answered with the present token: all older orders are void. */
     bool isConfirmed() const;
     BootTime leaseMostUntil() const;
+    BootTime listedAt() const;
     /** No run can go on there any more, although the worker cannot be asked. */
     bool isLeaseOver(BootTime now) const;
     bool mayTakeWork(BootTime now) const;
--- a/libs/scheduling/src/schedulertime.cpp
+++ b/libs/scheduling/src/schedulertime.cpp
@@ -15,6 +15,10 @@
 // Beyond the longest time that a stop may take, the order is taken for lost.
 constexpr auto StopMargin = 600ms;
 constexpr auto StopRetry = 300ms;
+// A task whose percentage did not change over this time of listings makes no progress: even a run of a
+// minute shows three per cent.
+constexpr auto StandsStillAfter = 1800ms;
+constexpr auto StandsStillPause = 4000ms;
 // Jobs forgotten at once; the rest follow.
 constexpr std::size_t ForgottenMax = 100;
 
@@ -73,6 +77,13 @@
             if (run.stop == StopProgress::Accepted && now - run.stopSentAt > times.stopGrace + StopMargin) {
                 run.stop = StopProgress::Due;
             }
+            const bool stands = !run.lasting && run.percent >= 0 && session.listedAt() - run.percentAt >= StandsStillAfter;
+            const JobEntry *entry = findEntry(task.job);
+            if (stands && run.start == StartProgress::Accepted && run.stop == StopProgress::NotWanted && entry != nullptr && !entry->job.step(task.ref).gang) {
+                wantStop(session, task, "stands still at " + std::to_string(run.percent) + " %");
+                session.noteFailure();
+                session.avoidUntil(now + StandsStillPause);
+            }
             if (draining && run.lasting && run.start == StartProgress::Accepted) {
                 wantStop(session, task, "worker leaves");
             }
--- a/libs/scheduling/src/workersession.cpp
+++ b/libs/scheduling/src/workersession.cpp
@@ -243,6 +243,11 @@
     return m_leaseMostUntil;
 }
 
+BootTime WorkerSession::listedAt() const
+{
+    return m_listedAt;
+}
+
 void WorkerSession::setLeaseHeldBack(bool heldBack)
 {
     m_leaseHeldBack = heldBack;
