Store a release that meets a heartbeat again; slow filling tasks beside serving ones

Change: the release is tried again at the log's new end; paces of filling tasks are decided from the tails of the serving ones on their worker.

--- a/libs/jobnode/src/jobnode.cpp
+++ b/libs/jobnode/src/jobnode.cpp
@@ -21,6 +21,9 @@
 constexpr double ClaimDelayPerCore = 25.0;
 constexpr std::uint32_t ClaimSpreadMs = 60;
 constexpr auto ClaimDelayMost = 400ms;
+// A release that is not stored costs its followers the whole time of a silence.
+constexpr int ReleaseTries = 8;
+constexpr auto ReleaseRetry = 80ms;
 // A call that is handed on ends this much before its caller gives up.
 constexpr std::int64_t HandOnMarginMs = 60;
 constexpr std::int64_t NoOwnerRetryAfterMs = 500;
@@ -102,6 +105,7 @@
     void beginReign(std::uint64_t offset);
     void endReign(const std::string &reason);
     void heartbeat();
+    void storeRelease(const OwnershipRecord &record, int triesLeft, const std::function<void()> &onDone);
     OwnershipRecord ownRecord() const;
     PredecessorLeases predecessorLeases() const;
     MachineHandOver machineHandOver() const;
@@ -384,6 +388,27 @@
     });
 }
 
+// A heartbeat that was under way may have moved the end of the log.
+void JobNode::Impl::storeRelease(const OwnershipRecord &record, int triesLeft, const std::function<void()> &onDone)
+{
+    store.claimOwnership(record, view.end(), [self = shared_from_this(), record, triesLeft, onDone](const tl::expected<std::uint64_t, StoreFailure> &offset) {
+        logChange("owner", "released", {{"result", offset ? "stored" : std::string(toName(offset.error()))}});
+        const bool stillOwn = self->view.owner() && self->isOwn(*self->view.owner());
+        if (offset || triesLeft <= 1 || !stillOwn || self->stopped) {
+            onDone();
+            return;
+        }
+        self->heartbeatTimer.expires_after(ReleaseRetry);
+        self->heartbeatTimer.async_wait([self, record, triesLeft, onDone](const asio::error_code &error) {
+            if (error) {
+                onDone();
+                return;
+            }
+            self->storeRelease(record, triesLeft - 1, onDone);
+        });
+    });
+}
+
 void JobNode::Impl::dialOwner()
 {
     const std::optional<OwnershipRecord> &owner = view.owner();
@@ -474,10 +499,7 @@
         record.released = true;
         record.recentMachineOrders = self->recentOrders;
         self->endReign("released");
-        self->store.claimOwnership(record, self->view.end(), [onDone](const tl::expected<std::uint64_t, StoreFailure> &offset) {
-            logChange("owner", "released", {{"result", offset ? "stored" : std::string(toName(offset.error()))}});
-            onDone();
-        });
+        self->storeRelease(record, ReleaseTries, onDone);
     });
 }
 
--- a/libs/jobnode/tests/jobnodetest.cpp
+++ b/libs/jobnode/tests/jobnodetest.cpp
@@ -45,6 +45,8 @@
     bool away = false;
     /** The next batches are stored, but their answers are lost. */
     int lostAnswers = 0;
+    /** The next claims meet a record that came before. */
+    int conflicts = 0;
     std::map<TaskName, std::uint32_t> running;
     std::vector<ListedEnd> ended;
     std::uint64_t token = 0;
@@ -95,6 +97,9 @@
             later([this, record, at, handler] {
                 if (away) {
                     handler(tl::make_unexpected(StoreFailure::Refused));
+                } else if (conflicts > 0) {
+                    --conflicts;
+                    handler(tl::make_unexpected(StoreFailure::Conflict));
                 } else if (at != ownership.size()) {
                     handler(tl::make_unexpected(StoreFailure::Conflict));
                 } else {
@@ -468,6 +473,39 @@
     BOOST_TEST(fleet.world.starts == 4);
 }
 
+BOOST_AUTO_TEST_CASE(aReleaseThatMeetsAHeartbeatIsStoredAgain)
+{
+    Nodes fleet(2);
+    JobNode &first = fleet.owner();
+    fleet.other();
+    fleet.world.conflicts = 2;
+    bool released = false;
+    first.release([&] {
+        released = true;
+    });
+    fleet.runUntil([&] {
+        return released;
+    });
+    BOOST_TEST(fleet.world.conflicts == 0);
+    const auto stored = std::find_if(fleet.world.ownership.begin(), fleet.world.ownership.end(), [](const OwnershipRecord &record) {
+        return record.released;
+    });
+    BOOST_TEST((stored != fleet.world.ownership.end()));
+}
+
+BOOST_AUTO_TEST_CASE(theNextLifeOfAnOwnerFollowsAtOnce)
+{
+    Nodes fleet(1);
+    fleet.owner();
+    fleet.nodes.front()->stop();
+    fleet.nodes.clear();
+    const SteadyTime restarted = steadyNow();
+    // The same name: another life of the node.
+    fleet.add(0);
+    fleet.owner();
+    BOOST_TEST((steadyNow() - restarted < OwnershipTimes{}.silence));
+}
+
 BOOST_AUTO_TEST_CASE(aSilentOwnerIsFollowedAndItsRunsAreAdopted)
 {
     Nodes fleet(2);
--- a/libs/scheduling/include/scheduling/workersession.h
+++ b/libs/scheduling/include/scheduling/workersession.h
@@ -97,6 +97,8 @@
     void noteStored(std::uint64_t batch, BootTime now);
     void addRun(const TaskName &task, LiveRun run);
     void removeRun(const TaskName &task);
+    /** The paces of its filling runs were decided. */
+    void notePaced(BootTime now);
     /** Asks for a listing at once. */
     void hasten(BootTime now);
     /** All runs may go on until @p until although this owner extended nothing. */
@@ -117,6 +119,7 @@
     bool isConfirmed() const;
     BootTime leaseMostUntil() const;
     BootTime listedAt() const;
+    BootTime pacedAt() const;
     /** No run can go on there any more, although the worker cannot be asked. */
     bool isLeaseOver(BootTime now) const;
     bool mayTakeWork(BootTime now) const;
@@ -139,7 +142,7 @@
     double failureScore() const;
 
 private:
-    bool isStarting() const;
+    bool needsLooks() const;
 
     WorkerFacts m_facts;
     LeaseTerms m_terms;
@@ -159,6 +162,7 @@
     /** Nothing suggests that the worker began a new life since its latest listing. */
     bool m_lifeCertain = false;
     BootTime m_listedAt{};
+    BootTime m_pacedAt{};
     BootTime m_nextHoldAt{};
     std::uint64_t m_acknowledged = 0;
     std::uint64_t m_sentAcknowledged = 0;
--- a/libs/scheduling/src/details/schedulerimpl.h
+++ b/libs/scheduling/src/details/schedulerimpl.h
@@ -158,6 +158,7 @@
     void openDueOccurrences(std::int64_t wallMs);
     void endLeases(BootTime now, std::int64_t wallMs);
     void watchRuns(BootTime now);
+    void paceFilling(WorkerSession &session, BootTime now);
     void forgetClosed(std::int64_t wallMs);
 
     // Placing.
--- a/libs/scheduling/src/schedulertime.cpp
+++ b/libs/scheduling/src/schedulertime.cpp
@@ -1,4 +1,5 @@
 #include "details/schedulerimpl.h"
+#include "scheduling/sharing.h"
 
 #include <algorithm>
 #include <utility>
@@ -15,6 +16,9 @@
 // Beyond the longest time that a stop may take, the order is taken for lost.
 constexpr auto StopMargin = 600ms;
 constexpr auto StopRetry = 300ms;
+// The figures of a worker are those of the last half second.
+constexpr auto PaceInterval = 500ms;
+constexpr int FullPacePercent = 100;
 // A task whose percentage did not change over this time of listings makes no progress: even a run of a
 // minute shows three per cent.
 constexpr auto StandsStillAfter = 1800ms;
@@ -69,9 +73,36 @@
     }
 }
 
+// Slows what fills beside tasks with users of their own, and lets it go on when they have room.
+void Scheduler::Impl::paceFilling(WorkerSession &session, BootTime now)
+{
+    if (session.servingCount() == 0 || session.fillingCount() == 0 || !session.isReachable() || now - session.pacedAt() < PaceInterval) {
+        return;
+    }
+    session.notePaced(now);
+    double worst = -1;
+    for (const auto &[task, run] : session.runs()) {
+        if (run.tailTargetMs > 0 && run.load >= 0) {
+            worst = std::max(worst, static_cast<double>(run.load) / static_cast<double>(run.tailTargetMs));
+        }
+    }
+    for (auto &[task, run] : session.runs()) {
+        // A pace that may not have taken effect is ordered again from full speed.
+        const int present = run.pace < 0 ? FullPacePercent : run.pace;
+        const int wanted = decidePace(worst, present);
+        if (!run.fills || run.start != StartProgress::Accepted || wanted == run.pace) {
+            continue;
+        }
+        run.pace = wanted;
+        notice("pace", task, run.run, session.facts().id, std::to_string(wanted) + " %, worst tail at " + std::to_string(worst) + " of its target");
+        orders.emplace_back(PaceOrder{session.facts().id, task, run.run, wanted, session.token()});
+    }
+}
+
 void Scheduler::Impl::watchRuns(BootTime now)
 {
     for (auto &[id, session] : workers) {
+        paceFilling(session, now);
         const bool draining = session.facts().state == WorkerState::Draining;
         for (auto &[task, run] : session.runs()) {
             if (run.stop == StopProgress::Accepted && now - run.stopSentAt > times.stopGrace + StopMargin) {
--- a/libs/scheduling/src/workersession.cpp
+++ b/libs/scheduling/src/workersession.cpp
@@ -11,8 +11,8 @@
 
 // Long enough that idle looks are rare, short enough that three fit into a lease of six seconds.
 constexpr auto HoldWait = 1500ms;
-// While a lasting run is not at work yet: others wait for it.
-constexpr std::chrono::milliseconds StartingWait = 250ms;
+// While a lasting run is not at work yet, since others wait for it, and while filling runs may disturb serving ones.
+constexpr std::chrono::milliseconds FrequentWait = 250ms;
 // Ends that wait to be stored do not stop the lease from being extended.
 constexpr auto UnstoredEndsInterval = 700ms;
 // Pause between looks at a worker that does not answer.
@@ -85,7 +85,7 @@
         noteLeaseExtension(now);
     }
     const bool mayWait = m_confirmed && m_reachable && m_deferred.empty() && !m_runs.empty();
-    order.wait = mayWait ? (isStarting() ? StartingWait : std::chrono::milliseconds(HoldWait)) : 0ms;
+    order.wait = mayWait ? (needsLooks() ? FrequentWait : std::chrono::milliseconds(HoldWait)) : 0ms;
     m_sentAcknowledged = order.acknowledgedEnd;
     (probe ? m_probeInFlight : m_holdInFlight) = true;
     m_probeToken = probe ? m_token : m_probeToken;
@@ -93,8 +93,11 @@
     return order;
 }
 
-bool WorkerSession::isStarting() const
+bool WorkerSession::needsLooks() const
 {
+    if (m_serving > 0 && m_filling > 0) {
+        return true;
+    }
     return std::any_of(m_runs.begin(), m_runs.end(), [](const auto &item) {
         return item.second.lasting && item.second.start == StartProgress::Accepted && item.second.percent != AtWorkPercent;
     });
@@ -243,6 +246,16 @@
     return m_leaseMostUntil;
 }
 
+BootTime WorkerSession::pacedAt() const
+{
+    return m_pacedAt;
+}
+
+void WorkerSession::notePaced(BootTime now)
+{
+    m_pacedAt = now;
+}
+
 BootTime WorkerSession::listedAt() const
 {
     return m_listedAt;
--- a/libs/scheduling/tests/plantest.cpp
+++ b/libs/scheduling/tests/plantest.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/joborder.h"
 #include "scheduling/placement.h"
 #include "scheduling/poolplan.h"
+#include "scheduling/sharing.h"
 #include "scheduling/waveplan.h"
 
 #include <boost/test/unit_test.hpp>
@@ -342,3 +343,19 @@
     BOOST_TEST(line[4].beyondAgreement);
     BOOST_TEST(line[5].priority == 1U);
 }
+
+// Load pattern: filling tasks disturb serving ones by amounts that change within seconds.
+BOOST_AUTO_TEST_CASE(fillingTasksAreSlowedBeforeAServingOneIsOverItsTarget)
+{
+    BOOST_TEST(decidePace(-1, 100) == 100);
+    BOOST_TEST(decidePace(0.85, 100) < 100);
+    BOOST_TEST(decidePace(1.2, 100) == 0);
+    BOOST_TEST(decidePace(0.7, 40) == 40);
+    int pace = 0;
+    for (int step = 0; step < 5; ++step) {
+        const int next = decidePace(0.3, pace);
+        BOOST_TEST(next > pace);
+        pace = next;
+    }
+    BOOST_TEST(pace == 100);
+}
