Restore jobs in time that grows with their number only; measure the owner at four sizes

Change: a worker's lease is assumed when its first run is restored. ./run.sh bench scheduler measures placing, records, recovery and memory of the owner.

--- /dev/null
+++ b/libs/scheduling/benchmark/main.cpp
@@ -0,0 +1,155 @@
+#include "jobs/jobcodec.h"
+#include "scheduling/scheduler.h"
+
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <cstring>
+#include <fstream>
+#include <map>
+#include <string>
+
+using namespace Cornelquay;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr BootTime Start{std::chrono::milliseconds(1000000)};
+constexpr int JobsPerWorker = 2;
+constexpr int WorkersPerPool = 276;
+// One placing pass may not delay an urgent start by more than a hundredth of its 4.6 s.
+constexpr double PassTargetMs = 46;
+
+double millisecondsSince(std::chrono::steady_clock::time_point start)
+{
+    return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - start).count();
+}
+
+double residentMegabytes()
+{
+    std::ifstream status("/proc/self/statm");
+    double total = 0;
+    double resident = 0;
+    status >> total >> resident;
+    constexpr double PageBytes = 4096;
+    return resident * PageBytes / 1e6;
+}
+
+void print(const std::string &measure, double value, const char *unit, const std::string &target)
+{
+    std::printf("{\"measure\":\"%s\",\"value\":%.4g,\"unit\":\"%s\",\"target\":%s,\"bound\":\"at most\",\"baseline\":null,\"seed\":1}\n",
+                measure.c_str(),
+                value,
+                unit,
+                target.c_str());
+}
+
+JobRecord makeJob(int number, const std::string &pool)
+{
+    JobRecord record;
+    char id[17];
+    std::snprintf(id, sizeof id, "%016x", number);
+    record.id = id;
+    record.queue = pool;
+    record.account = "account";
+    record.terms = {pool, 0, 3, 1.6, 600};
+    record.spec.payload = std::string(150, 'x');
+    StepSpec step;
+    step.count = 6;
+    step.demand = {900, 1300, 0};
+    step.estimateMs = 640;
+    StepSpec second = step;
+    second.after = {0};
+    record.spec.steps = {step, second};
+    return record;
+}
+
+/** An owner with all its workers confirmed, and jobs for all of them placed at once. */
+void measure(int workers)
+{
+    const double before = residentMegabytes();
+    Scheduler scheduler(SchedulerTimes{}, 1, Start);
+    auto policy = std::make_shared<FleetPolicy>();
+    const auto poolOf = [](int number) {
+        return "pool-" + std::to_string(number / WorkersPerPool);
+    };
+    for (int number = 0; number < workers; ++number) {
+        policy->queues[poolOf(number)].terms = {poolOf(number), 0, 3, 1.6, 600};
+        policy->pools[poolOf(number)];
+    }
+    scheduler.setPolicy(policy);
+    for (int number = 0; number < workers; ++number) {
+        WorkerFacts facts;
+        facts.id = "i-" + std::to_string(number);
+        facts.bornMs = 1;
+        facts.pool = poolOf(number);
+        facts.address = "192.0.2.1:1";
+        facts.rack = "r" + std::to_string(number / 12);
+        facts.capacity = {16000, 32000, 0};
+        scheduler.workerSeen(facts, Start);
+    }
+    const auto answerHolds = [&scheduler](BootTime now) {
+        std::vector<StartOrder> starts;
+        for (const Order &order : scheduler.takeOrders(now, OrderScope::All)) {
+            if (const HoldOrder *hold = std::get_if<HoldOrder>(&order)) {
+                Listing listing;
+                listing.bornMs = 1;
+                listing.clockMs = 5000;
+                scheduler.noteHold(*hold, now, listing, now, 1);
+            } else if (const StartOrder *start = std::get_if<StartOrder>(&order)) {
+                starts.push_back(*start);
+            }
+        }
+        return starts;
+    };
+    answerHolds(Start);
+    for (int number = 0; number < workers * JobsPerWorker; ++number) {
+        scheduler.submit(makeJob(number, poolOf(number / JobsPerWorker)), Start, 1);
+    }
+    auto clock = std::chrono::steady_clock::now();
+    scheduler.advance(Start + 100ms, 1);
+    const double pass = millisecondsSince(clock);
+    clock = std::chrono::steady_clock::now();
+    const RecordBatch batch = scheduler.takeBatch();
+    const double encode = millisecondsSince(clock);
+    std::size_t bytes = 0;
+    for (const auto &[id, record] : batch.records) {
+        bytes += record.size();
+    }
+    scheduler.noteStored(batch.number, Start + 110ms);
+    const std::vector<StartOrder> starts = answerHolds(Start + 110ms);
+    clock = std::chrono::steady_clock::now();
+    for (const StartOrder &start : starts) {
+        scheduler.noteStart(start, OrderTaken{5000}, Start + 115ms, 1);
+    }
+    const double answers = millisecondsSince(clock);
+    scheduler.takeNotices();
+    clock = std::chrono::steady_clock::now();
+    scheduler.advance(Start + 300ms, 1);
+    const double quiet = millisecondsSince(clock);
+    clock = std::chrono::steady_clock::now();
+    Scheduler successor(SchedulerTimes{}, 2, Start);
+    for (const auto &[id, record] : batch.records) {
+        successor.restore(*decodeJob(record), Start, 1);
+    }
+    const double restore = millisecondsSince(clock);
+    const std::string at = ", " + std::to_string(workers) + " workers";
+    print("placing pass, all work at once, each start" + at, 1000 * pass / static_cast<double>(starts.size()), "us", "null");
+    print("placing pass, nothing to place" + at, quiet, "ms", std::to_string(PassTargetMs));
+    print("record of a job" + at, static_cast<double>(bytes) / static_cast<double>(batch.records.size()), "B", "null");
+    print("encoding, each job" + at, 1000 * encode / static_cast<double>(batch.records.size()), "us", "null");
+    print("answers to starts, each" + at, 1000 * answers / static_cast<double>(starts.size()), "us", "null");
+    print("restoring, each job" + at, 1000 * restore / static_cast<double>(batch.records.size()), "us", "null");
+    print("memory of owner and successor, each worker with its jobs" + at, 1000 * (residentMegabytes() - before) / workers, "KB", "null");
+}
+
+}
+
+int main()
+{
+    for (const int workers : {50, 350, 2000, 9100}) {
+        measure(workers);
+    }
+    return EXIT_SUCCESS;
+}
--- a/libs/scheduling/src/scheduler.cpp
+++ b/libs/scheduling/src/scheduler.cpp
@@ -121,16 +121,16 @@
                 run.stop = entry.job.isOpen() ? StopProgress::NotWanted : StopProgress::Due;
                 WorkerFacts facts;
                 facts.id = task.worker;
-                auto worker = m_impl->workers.try_emplace(task.worker, facts, m_impl->firstToken, m_impl->times.lease).first;
+                const auto [worker, added] = m_impl->workers.try_emplace(task.worker, facts, m_impl->firstToken, m_impl->times.lease);
+                if (added) {
+                    const auto silent = m_impl->predecessor.silent.find(task.worker);
+                    worker->second.setRegistered(false);
+                    worker->second.assumeLease(now + (silent == m_impl->predecessor.silent.end() ? m_impl->predecessor.rest : silent->second));
+                }
                 m_impl->addRun(worker->second, {id, {occurrence.number, step, index}}, entry, std::move(run));
             }
         }
     }
-    for (auto &[workerId, session] : m_impl->workers) {
-        session.setRegistered(false);
-        const auto silent = m_impl->predecessor.silent.find(workerId);
-        session.assumeLease(now + (silent == m_impl->predecessor.silent.end() ? m_impl->predecessor.rest : silent->second));
-    }
 }
 
 void Scheduler::setPredecessor(PredecessorLeases leases)
