--- a/libs/jobnode/src/reign.cpp
+++ b/libs/jobnode/src/reign.cpp
@@ -29,6 +29,8 @@
 constexpr std::int64_t ConfigurationRetryAfterMs = 300;
 // An answer must still reach the caller through another node.
 constexpr std::int64_t AnswerMarginMs = 150;
+// Several times what the store takes for a batch.
+constexpr std::int64_t AnswerTimeLeastMs = 400;
 constexpr auto SettleMost = 1000ms;
 
 // Records of waves lie beside those of jobs, whose names hold no such sign.
@@ -38,7 +40,8 @@
 struct WaitingAnswer {
     std::uint64_t batch = 0;
     JobAnswer answer;
-    std::int64_t deadlineMs = 0;
+    /** Wall-clock milliseconds after which the outcome is said to be unknown. */
+    std::int64_t expiresMs = 0;
     JobId job;
     Reign::Responder respond;
 };
@@ -543,7 +546,7 @@
     const std::int64_t wallMs = toUnixMilliseconds(wallNow());
     std::vector<WaitingAnswer> expired;
     for (auto waiting = answers.begin(); waiting != answers.end();) {
-        if (wallMs > waiting->deadlineMs - AnswerMarginMs) {
+        if (wallMs > waiting->expiresMs) {
             expired.push_back(std::move(*waiting));
             waiting = answers.erase(waiting);
         } else {
@@ -636,7 +639,10 @@
         respond(std::move(answer));
         return;
     }
-    answers.push_back({batch, std::move(answer), call.deadlineMs, call.job, std::move(respond)});
+    // The caller's node may have another time of day, so what the store does in its usual time is waited for.
+    const std::int64_t wallMs = toUnixMilliseconds(wallNow());
+    const std::int64_t expiresMs = std::max(call.deadlineMs - AnswerMarginMs, wallMs + AnswerTimeLeastMs);
+    answers.push_back({batch, std::move(answer), expiresMs, call.job, std::move(respond)});
 }
 
 Reign::Reign(
