--- a/scripts/main.sh
+++ b/scripts/main.sh
@@ -6,7 +6,7 @@
 usage() {
     cat <<'TEXT'
 usage: ./run.sh COMMAND
-  demo                      build, start a small fleet on loopback, send work, report
+  demo                      build, start a small fleet on loopback, send work and jobs, report
   test                      build and run every test
   bench NAME [--seed N]     run one measurement; bench --list names them
   build                     install the declared packages and build
@@ -18,7 +18,8 @@
 case "${1:-}" in
 demo)
     ensure_built build
-    exec scripts/demo.sh
+    scripts/demo.sh
+    exec scripts/demo-jobs.sh
     ;;
 test)
     ensure_built build
--- /dev/null
+++ b/tools/cornelquay-emulator/main.cpp
@@ -0,0 +1,74 @@
+#include "platformemulator.h"
+
+#include <asio.hpp>
+
+#include <getopt.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <string>
+
+using namespace Cornelquay;
+using namespace Cornelquay::SharedPlatform;
+
+namespace {
+
+constexpr const char *Usage = "usage: cornelquay-emulator [--workers N] [--task-ms N] [--seed N]\n"
+                              "Runs the users' platform in one process until SIGTERM or SIGINT: store, registry, workers and\n"
+                              "control plane on loopback. Prints where they listen, and at the end what the workers saw.\n"
+                              "  --workers N  workers in the first pool (3)\n"
+                              "  --task-ms N  run time of each task (60)\n"
+                              "  --seed N     seed of the faults (1)\n"
+                              "  --help       print this text and exit\n";
+
+/** Reads the options; false if they are not understood. */
+bool parseOptions(int argc, char **argv, EmulatorSettings &settings)
+{
+    const option longOptions[] = {{"workers", required_argument, nullptr, 'w'},
+                                  {"task-ms", required_argument, nullptr, 't'},
+                                  {"seed", required_argument, nullptr, 's'},
+                                  {"help", no_argument, nullptr, 'h'},
+                                  {nullptr, 0, nullptr, 0}};
+    int choice = 0;
+    // One thread at this point, so getopt's global state is safe.
+    while ((choice = getopt_long(argc, argv, "", longOptions, nullptr)) != -1) { // NOLINT(concurrency-mt-unsafe)
+        const long number = optarg == nullptr ? 0 : std::strtol(optarg, nullptr, 10);
+        if (choice == 'h' || choice == '?' || number <= 0) {
+            return false;
+        }
+        if (choice == 'w') {
+            settings.workers = static_cast<std::size_t>(number);
+        } else if (choice == 't') {
+            settings.taskTime = std::chrono::milliseconds(number);
+        } else {
+            settings.seed = static_cast<std::uint32_t>(number);
+        }
+    }
+    return optind == argc;
+}
+
+}
+
+int main(int argc, char **argv)
+{
+    EmulatorSettings settings;
+    if (!parseOptions(argc, argv, settings)) {
+        std::cerr << Usage;
+        return 2;
+    }
+    asio::io_context io;
+    PlatformEmulator emulator(io, settings);
+    emulator.writeConfiguration(1);
+    std::cout << "{\"store\":\"" << toText(emulator.storeAddress()) << "\",\"machines\":\"" << toText(emulator.machinesAddress()) << "\"}" << std::endl;
+    asio::signal_set signals(io, SIGTERM, SIGINT);
+    signals.async_wait([&io](const asio::error_code &, int) {
+        io.stop();
+    });
+    io.run();
+    std::cout << "{\"starts\":" << emulator.starts() << ",\"violations\":" << emulator.violations().size() << "}" << std::endl;
+    for (const std::string &violation : emulator.violations()) {
+        std::cerr << violation << '\n';
+    }
+    return emulator.violations().empty() ? EXIT_SUCCESS : EXIT_FAILURE;
+}
