--- a/libs/httpio/src/httpserver.cpp
+++ b/libs/httpio/src/httpserver.cpp
@@ -174,24 +174,24 @@
         if (!m_reading) {
             read();
         }
-        m_server->handler(std::move(request), [weak, number](HttpResponse response) {
+        m_server->handler(std::move(request), [weak, number](const HttpResponse &response) {
             if (const auto self = weak.lock()) {
-                self->answer(number, std::move(response));
+                self->answer(number, response);
             }
         });
     }
 
-    void answer(std::uint64_t number, HttpResponse response)
+    void answer(std::uint64_t number, const HttpResponse &response)
     {
         if (m_closed || !m_answering || number != m_requestNumber) {
             return;
         }
         m_answering = false;
         --m_server->inFlight;
-        write(std::move(response));
+        write(response);
     }
 
-    void write(HttpResponse response)
+    void write(const HttpResponse &response)
     {
         m_closeAfterAnswer = m_closeAfterAnswer || m_server->draining;
         m_outgoing = Details::serialize(response, m_closeAfterAnswer);
--- a/libs/jobnode/include/jobnode/machinekeeper.h
+++ b/libs/jobnode/include/jobnode/fleetkeeper.h
@@ -14,31 +14,31 @@
 
 namespace Cornelquay {
 
-/** Times of the machines' control plane. */
-struct MachineTimes {
+/** Times of the instances' control plane. */
+struct InstanceTimes {
     PoolTimes pools;
     WaveTimes waves;
     /** Between orders of two owners. */
     std::chrono::milliseconds handOver{3200};
 };
 
-/** When an owner may give its first order for each machine, after those of its predecessor. */
-struct MachineHandOver {
+/** When an owner may give its first order for each instance, after those of its predecessor. */
+struct InstanceHandOver {
     /** All of the predecessor's recent orders are known. */
     bool isExact = false;
-    std::map<MachineId, BootTime> heldUntil;
-    /** For machines of which nothing is known. */
+    std::map<InstanceId, BootTime> heldUntil;
+    /** For instances of which nothing is known. */
     BootTime restFrom{};
 };
 
 /**
- * Keeps the machines: gives each pool what it needs and carries out waves of maintenance. Part of a
+ * Keeps the instances: gives each pool what it needs and carries out waves of maintenance. Part of a
  * reign; driven by its pump. Lives on the node's thread.
  */
-class MachineKeeper : public std::enable_shared_from_this<MachineKeeper>
+class FleetKeeper : public std::enable_shared_from_this<FleetKeeper>
 {
 public:
-    MachineKeeper(MachinePort &port, Scheduler &scheduler, MachineTimes times, std::uint64_t epoch, MachineHandOver handOver, Metrics &metrics);
+    FleetKeeper(InstancePort &port, Scheduler &scheduler, InstanceTimes times, std::uint64_t epoch, InstanceHandOver handOver, Metrics &metrics);
 
     // Commands.
     void addWave(const WaveSpec &spec, BootTime seenAt);
@@ -46,27 +46,27 @@
     /** Reads the list and gives orders, as far as they are due. */
     void advance(BootTime now, const FleetPolicy &policy, bool mayAct);
     void end();
-    /** Machines that were ordered about within the time of a hand-over, and how long ago. */
-    std::map<MachineId, std::int64_t> recentOrders() const;
+    /** Instances that were ordered about within the time of a hand-over, and how long ago. */
+    std::map<InstanceId, std::int64_t> recentOrders() const;
     /** Records that changed since the last call, for storing. */
     std::vector<WaveRecord> takeChanged();
 
 private:
     void refresh(BootTime now);
     void readPage(const std::string &token);
-    std::map<MachineId, MachineView> viewMachines(BootTime now) const;
-    bool mayOrder(const MachineFacts &facts, BootTime now) const;
-    void decideWaves(const std::map<MachineId, MachineView> &views, BootTime now);
-    void decidePools(const std::map<MachineId, MachineView> &views, const FleetPolicy &policy, BootTime now);
-    void give(const MachineOrder &order, BootTime now);
-    void noteResult(const MachineOrder &order, const WorkerId &worker, const MachineResult &result);
+    std::map<InstanceId, InstanceView> viewInstances(BootTime now) const;
+    bool mayOrder(const InstanceFacts &facts, BootTime now) const;
+    void decideWaves(const std::map<InstanceId, InstanceView> &views, BootTime now);
+    void decidePools(const std::map<InstanceId, InstanceView> &views, const FleetPolicy &policy, BootTime now);
+    void give(const InstanceOrder &order, BootTime now);
+    void noteResult(const InstanceOrder &order, const WorkerId &worker, const InstanceResult &result);
     void reportWave(std::uint64_t number, bool completed);
 
-    MachinePort &m_port;
+    InstancePort &m_port;
     Scheduler &m_scheduler;
-    const MachineTimes m_times;
+    const InstanceTimes m_times;
     const std::uint64_t m_epoch;
-    const MachineHandOver m_handOver;
+    const InstanceHandOver m_handOver;
     Counter m_movesTotal;
     Counter m_maintenanceTotal;
     PoolPlan m_pools;
@@ -74,13 +74,13 @@
     std::map<std::uint64_t, WaveRecord> m_restored;
     std::set<std::uint64_t> m_changed;
     std::set<std::uint64_t> m_reported;
-    std::map<MachineId, MachineFacts> m_machines;
-    std::map<MachineId, MachineFacts> m_reading;
+    std::map<InstanceId, InstanceFacts> m_instances;
+    std::map<InstanceId, InstanceFacts> m_reading;
     /** Orders under way or so recent that the list may not show them. */
-    std::map<MachineId, BootTime> m_orderedAt;
-    /** When each machine was last ordered about, taken or not. */
-    std::map<MachineId, BootTime> m_givenAt;
-    std::set<MachineId> m_inFlight;
+    std::map<InstanceId, BootTime> m_orderedAt;
+    /** When each instance was last ordered about, taken or not. */
+    std::map<InstanceId, BootTime> m_givenAt;
+    std::set<InstanceId> m_inFlight;
     std::vector<WorkerId> m_cordoned;
     BootTime m_listedAt{};
     BootTime m_decidedAt{};
--- a/libs/jobnode/include/jobnode/jobnode.h
+++ b/libs/jobnode/include/jobnode/jobnode.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "jobnode/fleetkeeper.h"
 #include "jobnode/jobcall.h"
-#include "jobnode/machinekeeper.h"
 #include "jobnode/ownershipview.h"
 #include "jobnode/ports.h"
 #include "scheduling/scheduler.h"
@@ -27,7 +27,7 @@
     double cpuShare = 1.0;
     SchedulerTimes times;
     OwnershipTimes ownership;
-    MachineTimes machineTimes;
+    InstanceTimes instanceTimes;
 };
 
 /**
@@ -36,7 +36,7 @@
  * thread.
  *
  * @code
- * JobNode node(io, settings, store, workers, registry, machines, metrics);
+ * JobNode node(io, settings, store, workers, registry, instances, metrics);
  * node.start();
  * node.setConfiguration(configuration);
  * node.handle(call, [](JobAnswer answer) { ... });
@@ -47,7 +47,8 @@
 public:
     using Responder = std::function<void(JobAnswer answer)>;
 
-    JobNode(asio::io_context &io, JobNodeSettings settings, StorePort store, WorkerPort workers, RegistryPort registry, MachinePort machines, Metrics &metrics);
+    JobNode(
+        asio::io_context &io, JobNodeSettings settings, StorePort store, WorkerPort workers, RegistryPort registry, InstancePort instances, Metrics &metrics);
     ~JobNode();
     JobNode(const JobNode &) = delete;
     JobNode &operator=(const JobNode &) = delete;
@@ -60,7 +61,7 @@
     void setConfiguration(std::shared_ptr<const NodeConfiguration> configuration);
     /** A wave of maintenance that the operators ask for; repeats are ignored. */
     void addWave(const WaveSpec &spec);
-    void handle(const JobCall &call, Responder respond);
+    void handle(const JobCall &call, const Responder &respond);
 
     // Queries.
     bool isBound() const;
--- a/libs/jobnode/include/jobnode/ports.h
+++ b/libs/jobnode/include/jobnode/ports.h
@@ -2,7 +2,7 @@
 
 #include "jobs/job.h"
 #include "scheduling/fleetpolicy.h"
-#include "scheduling/machines.h"
+#include "scheduling/instances.h"
 #include "scheduling/orders.h"
 #include "transport/address.h"
 
@@ -46,12 +46,12 @@
     bool released = false;
     /** Workers with runs that the owner cannot reach, and what may be left of their leases, in milliseconds. */
     std::map<WorkerId, std::int64_t> silentWorkers;
-    /** Written on release: machines that were ordered about recently, and how long ago, in milliseconds. */
-    std::map<MachineId, std::int64_t> recentMachineOrders;
+    /** Written on release: instances that were ordered about recently, and how long ago, in milliseconds. */
+    std::map<InstanceId, std::int64_t> recentInstanceOrders;
 
     auto fields()
     {
-        return std::tie(node, life, address, epoch, released, silentWorkers, recentMachineOrders);
+        return std::tie(node, life, address, epoch, released, silentWorkers, recentInstanceOrders);
     }
 };
 
@@ -123,22 +123,22 @@
     std::function<void()> stop;
 };
 
-/** One page of the machines' list. */
-struct MachinePage {
-    std::vector<MachineFacts> machines;
+/** One page of the instances' list. */
+struct InstancePage {
+    std::vector<InstanceFacts> instances;
     /** Names the next page; empty after the last one. */
     std::string next;
 };
 
-/** The control plane of the machines. Handlers run on the node's thread. */
-struct MachinePort {
-    using ListHandler = std::function<void(std::optional<MachinePage> page)>;
-    using OrderHandler = std::function<void(MachineResult result)>;
+/** The control plane of the instances. Handlers run on the node's thread. */
+struct InstancePort {
+    using ListHandler = std::function<void(std::optional<InstancePage> page)>;
+    using OrderHandler = std::function<void(InstanceResult result)>;
     using ReportHandler = std::function<void(bool stored)>;
 
     std::function<void(const std::string &page, ListHandler handler)> list;
     /** @p epoch fences owners: of two orders the one with the higher epoch is the later owner's. */
-    std::function<void(const MachineOrder &order, std::uint64_t epoch, OrderHandler handler)> order;
+    std::function<void(const InstanceOrder &order, std::uint64_t epoch, OrderHandler handler)> order;
     /** Tells the operators how far a wave is. */
     std::function<void(std::uint64_t wave, bool completed, ReportHandler handler)> reportWave;
 };
--- a/libs/jobnode/include/jobnode/reign.h
+++ b/libs/jobnode/include/jobnode/reign.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "jobnode/fleetkeeper.h"
 #include "jobnode/jobcall.h"
-#include "jobnode/machinekeeper.h"
 #include "jobnode/ownershipview.h"
 #include "jobnode/ports.h"
 #include "scheduling/scheduler.h"
@@ -20,11 +20,11 @@
     StorePort &store;
     WorkerPort &workers;
     RegistryPort &registry;
-    MachinePort &machines;
+    InstancePort &instances;
     Metrics &metrics;
     SchedulerTimes times;
     OwnershipTimes ownership;
-    MachineTimes machineTimes;
+    InstanceTimes instanceTimes;
 };
 
 /**
@@ -48,7 +48,7 @@
 
     /** @p onDeposed is called once, when another owner is seen. */
     Reign(
-        ReignContext context, std::uint64_t epoch, PredecessorLeases predecessor, MachineHandOver handOver, std::function<void(std::string reason)> onDeposed);
+        ReignContext context, std::uint64_t epoch, PredecessorLeases predecessor, InstanceHandOver handOver, std::function<void(std::string reason)> onDeposed);
     ~Reign();
 
     // Commands.
@@ -63,12 +63,12 @@
     void notePublished(const std::map<WorkerId, std::int64_t> &silentWorkers);
     /** The owner was heard in the store at a call sent at @p sentAt. */
     void noteFresh(BootTime sentAt);
-    void handle(const JobCall &call, Responder respond);
+    void handle(const JobCall &call, const Responder &respond);
 
     // Queries.
     /** For the ownership log. */
     std::map<WorkerId, std::int64_t> silentWorkers() const;
-    std::map<MachineId, std::int64_t> recentMachineOrders() const;
+    std::map<InstanceId, std::int64_t> recentInstanceOrders() const;
     bool isServing() const;
     std::uint64_t epoch() const;
     const Scheduler &scheduler() const;
--- a/libs/jobnode/src/machinekeeper.cpp
+++ b/libs/jobnode/src/fleetkeeper.cpp
@@ -1,4 +1,4 @@
-#include "jobnode/machinekeeper.h"
+#include "jobnode/fleetkeeper.h"
 
 #include "telemetry/log.h"
 
@@ -21,6 +21,31 @@
 // Of a run that has not shown any progress yet.
 constexpr auto UnknownRemaining = 1500ms;
 
+const InstanceId &instanceOf(const InstanceOrder &order)
+{
+    return std::visit(
+        [](const auto &given) -> const InstanceId & {
+            return given.instance;
+        },
+        order);
+}
+
+std::string targetOf(const InstanceOrder &order)
+{
+    if (const MoveInstance *move = std::get_if<MoveInstance>(&order)) {
+        return move->pool;
+    }
+    return std::to_string(std::get<MaintainInstance>(order).wave);
+}
+
+std::string resultText(const InstanceResult &result)
+{
+    if (const InstanceRefusal *refusal = std::get_if<InstanceRefusal>(&result)) {
+        return std::string(toName(*refusal));
+    }
+    return std::holds_alternative<InstanceOrderTaken>(result) ? "taken" : "unanswered";
+}
+
 std::chrono::milliseconds remainingOf(const LiveRun &run, BootTime now)
 {
     if (run.percent <= 0 || run.percentAt <= run.since) {
@@ -32,19 +57,19 @@
 
 }
 
-MachineKeeper::MachineKeeper(MachinePort &port, Scheduler &scheduler, MachineTimes times, std::uint64_t epoch, MachineHandOver handOver, Metrics &metrics)
+FleetKeeper::FleetKeeper(InstancePort &port, Scheduler &scheduler, InstanceTimes times, std::uint64_t epoch, InstanceHandOver handOver, Metrics &metrics)
     : m_port(port)
     , m_scheduler(scheduler)
     , m_times(times)
     , m_epoch(epoch)
     , m_handOver(std::move(handOver))
-    , m_movesTotal(metrics.counter("machine_moves_total", "Moves of machines between pools"))
-    , m_maintenanceTotal(metrics.counter("machine_maintenance_total", "Maintenance of machines begun"))
+    , m_movesTotal(metrics.counter("instance_moves_total", "Moves of instances between pools"))
+    , m_maintenanceTotal(metrics.counter("instance_maintenance_total", "Maintenance of instances begun"))
     , m_pools(times.pools)
 {
 }
 
-void MachineKeeper::addWave(const WaveSpec &spec, BootTime seenAt)
+void FleetKeeper::addWave(const WaveSpec &spec, BootTime seenAt)
 {
     const auto [wave, added] = m_waves.try_emplace(spec.number, spec, m_times.waves, seenAt);
     if (!added) {
@@ -54,25 +79,25 @@
     if (restored != m_restored.end()) {
         wave->second.restore(restored->second);
     }
-    logChange("machines",
+    logChange("instances",
               "wave",
-              {{"wave", std::to_string(spec.number)}, {"machines", std::to_string(spec.machines.size())}, {"out-most", std::to_string(spec.outMax)}});
+              {{"wave", std::to_string(spec.number)}, {"instances", std::to_string(spec.instances.size())}, {"out-most", std::to_string(spec.outMax)}});
     if (!wave->second.isCompleted()) {
         reportWave(spec.number, false);
     }
 }
 
-void MachineKeeper::restore(const WaveRecord &record)
+void FleetKeeper::restore(const WaveRecord &record)
 {
     m_restored[record.number] = record;
 }
 
-void MachineKeeper::end()
+void FleetKeeper::end()
 {
     m_ended = true;
 }
 
-std::vector<WaveRecord> MachineKeeper::takeChanged()
+std::vector<WaveRecord> FleetKeeper::takeChanged()
 {
     std::vector<WaveRecord> records;
     for (const std::uint64_t number : m_changed) {
@@ -82,23 +107,23 @@
     return records;
 }
 
-void MachineKeeper::advance(BootTime now, const FleetPolicy &policy, bool mayAct)
+void FleetKeeper::advance(BootTime now, const FleetPolicy &policy, bool mayAct)
 {
     if (m_ended || now - m_decidedAt < DecideInterval) {
         return;
     }
     m_decidedAt = now;
     refresh(now);
-    if (m_machines.empty() || now - m_listedAt > ListAgeMost) {
+    if (m_instances.empty() || now - m_listedAt > ListAgeMost) {
         return;
     }
-    std::map<MachineId, MachineView> views = viewMachines(now);
+    std::map<InstanceId, InstanceView> views = viewInstances(now);
     std::vector<WorkerId> cordoned;
     std::swap(m_cordoned, cordoned);
     if (mayAct) {
         decideWaves(views, now);
         // What a wave has just ordered is not moved.
-        views = viewMachines(now);
+        views = viewInstances(now);
         decidePools(views, policy, now);
     }
     if (cordoned != m_cordoned) {
@@ -106,7 +131,7 @@
     }
 }
 
-void MachineKeeper::refresh(BootTime now)
+void FleetKeeper::refresh(BootTime now)
 {
     if (m_listing || now - m_listedAt < ListInterval) {
         return;
@@ -116,9 +141,9 @@
     readPage({});
 }
 
-void MachineKeeper::readPage(const std::string &token)
+void FleetKeeper::readPage(const std::string &token)
 {
-    m_port.list(token, [self = shared_from_this()](const std::optional<MachinePage> &page) {
+    m_port.list(token, [self = shared_from_this()](const std::optional<InstancePage> &page) {
         if (self->m_ended) {
             return;
         }
@@ -126,34 +151,34 @@
             self->m_listing = false;
             return;
         }
-        for (const MachineFacts &facts : page->machines) {
+        for (const InstanceFacts &facts : page->instances) {
             self->m_reading.insert_or_assign(facts.id, facts);
         }
         if (!page->next.empty()) {
             self->readPage(page->next);
             return;
         }
-        self->m_machines = std::exchange(self->m_reading, {});
+        self->m_instances = std::exchange(self->m_reading, {});
         self->m_listedAt = BootClock::now();
         self->m_listing = false;
     });
 }
 
-std::map<MachineId, std::int64_t> MachineKeeper::recentOrders() const
+std::map<InstanceId, std::int64_t> FleetKeeper::recentOrders() const
 {
     const BootTime now = BootClock::now();
-    std::map<MachineId, std::int64_t> recent;
-    for (const auto &[machine, givenAt] : m_givenAt) {
+    std::map<InstanceId, std::int64_t> recent;
+    for (const auto &[instance, givenAt] : m_givenAt) {
         if (now - givenAt < m_times.handOver) {
-            recent[machine] = (now - givenAt).count();
+            recent[instance] = (now - givenAt).count();
         }
     }
     return recent;
 }
 
-// Two owners' orders for one machine must be apart. A worker that has lived for long shows that its
-// machine was not ordered about meanwhile.
-bool MachineKeeper::mayOrder(const MachineFacts &facts, BootTime now) const
+// Two owners' orders for one instance must be apart. A worker that has lived for long shows that its
+// instance was not ordered about meanwhile.
+bool FleetKeeper::mayOrder(const InstanceFacts &facts, BootTime now) const
 {
     const auto held = m_handOver.heldUntil.find(facts.id);
     if (held != m_handOver.heldUntil.end() && now < held->second) {
@@ -167,11 +192,11 @@
     return bornMs != 0 && toUnixMilliseconds(wallNow()) - bornMs > OldWorker.count();
 }
 
-std::map<MachineId, MachineView> MachineKeeper::viewMachines(BootTime now) const
+std::map<InstanceId, InstanceView> FleetKeeper::viewInstances(BootTime now) const
 {
-    std::map<MachineId, MachineView> views;
-    for (const auto &[id, facts] : m_machines) {
-        MachineView view;
+    std::map<InstanceId, InstanceView> views;
+    for (const auto &[id, facts] : m_instances) {
+        InstanceView view;
         view.facts = facts;
         const auto ordered = m_orderedAt.find(id);
         view.ordered = !mayOrder(facts, now) || m_inFlight.count(id) != 0 || (ordered != m_orderedAt.end() && now - ordered->second < OrderShows);
@@ -191,7 +216,7 @@
     return views;
 }
 
-void MachineKeeper::decideWaves(const std::map<MachineId, MachineView> &views, BootTime now)
+void FleetKeeper::decideWaves(const std::map<InstanceId, InstanceView> &views, BootTime now)
 {
     std::map<std::string, Resources> backlog;
     for (const auto &[id, view] : views) {
@@ -203,18 +228,18 @@
             continue;
         }
         const WaveDecision decision = wave.decide(views, backlog, now);
-        for (const MachineId &machine : decision.cordon) {
-            m_cordoned.push_back(views.at(machine).facts.worker);
+        for (const InstanceId &instance : decision.cordon) {
+            m_cordoned.push_back(views.at(instance).facts.worker);
         }
-        for (const MachineId &machine : decision.due) {
-            leaving.push_back(views.at(machine).facts.worker);
+        for (const InstanceId &instance : decision.due) {
+            leaving.push_back(views.at(instance).facts.worker);
         }
-        // Nothing may be placed on a machine between the decision and its order.
+        // Nothing may be placed on an instance between the decision and its order.
         m_scheduler.setCordoned(m_cordoned);
-        for (const MachineId &machine : decision.evacuate) {
-            m_scheduler.evacuate(views.at(machine).facts.worker, now);
+        for (const InstanceId &instance : decision.evacuate) {
+            m_scheduler.evacuate(views.at(instance).facts.worker, now);
         }
-        for (const MaintainMachine &order : decision.maintain) {
+        for (const MaintainInstance &order : decision.maintain) {
             give(order, now);
         }
         if (decision.completed && m_reported.count(number) == 0) {
@@ -225,7 +250,7 @@
     m_scheduler.setLeaving(std::move(leaving));
 }
 
-void MachineKeeper::decidePools(const std::map<MachineId, MachineView> &views, const FleetPolicy &policy, BootTime now)
+void FleetKeeper::decidePools(const std::map<InstanceId, InstanceView> &views, const FleetPolicy &policy, BootTime now)
 {
     std::map<std::string, PoolDemand> pools;
     for (const auto &[name, pool] : policy.pools) {
@@ -241,17 +266,17 @@
         }
     }
     const std::set<WorkerId> cordoned(m_cordoned.begin(), m_cordoned.end());
-    std::map<MachineId, MachineView> free = views;
+    std::map<InstanceId, InstanceView> free = views;
     for (auto &[id, view] : free) {
-        // A machine that a wave is about to take is neither idle nor a help.
+        // An instance that a wave is about to take is neither idle nor a help.
         view.ordered = view.ordered || (!view.facts.worker.empty() && cordoned.count(view.facts.worker) != 0);
     }
     const PoolDecision decision = m_pools.decide(free, pools, now);
-    for (const MachineId &machine : decision.cordon) {
-        m_cordoned.push_back(views.at(machine).facts.worker);
+    for (const InstanceId &instance : decision.cordon) {
+        m_cordoned.push_back(views.at(instance).facts.worker);
     }
-    for (const MoveMachine &move : decision.moves) {
-        const WorkerId &worker = views.at(move.machine).facts.worker;
+    for (const MoveInstance &move : decision.moves) {
+        const WorkerId &worker = views.at(move.instance).facts.worker;
         if (!worker.empty()) {
             m_cordoned.push_back(worker);
         }
@@ -260,58 +285,48 @@
     }
 }
 
-void MachineKeeper::give(const MachineOrder &order, BootTime now)
+void FleetKeeper::give(const InstanceOrder &order, BootTime now)
 {
-    const MachineId &machine = std::visit(
-        [](const auto &given) -> const MachineId & {
-            return given.machine;
-        },
-        order);
-    const WorkerId worker = m_machines.at(machine).worker;
-    m_inFlight.insert(machine);
-    m_orderedAt[machine] = now;
-    m_givenAt[machine] = now;
-    m_port.order(order, m_epoch, [self = shared_from_this(), order, worker](const MachineResult &result) {
+    const InstanceId &instance = instanceOf(order);
+    const WorkerId worker = m_instances.at(instance).worker;
+    m_inFlight.insert(instance);
+    m_orderedAt[instance] = now;
+    m_givenAt[instance] = now;
+    m_port.order(order, m_epoch, [self = shared_from_this(), order, worker](const InstanceResult &result) {
         if (!self->m_ended) {
             self->noteResult(order, worker, result);
         }
     });
 }
 
-void MachineKeeper::noteResult(const MachineOrder &order, const WorkerId &worker, const MachineResult &result)
+void FleetKeeper::noteResult(const InstanceOrder &order, const WorkerId &worker, const InstanceResult &result)
 {
     const BootTime now = BootClock::now();
-    const MoveMachine *move = std::get_if<MoveMachine>(&order);
-    const MaintainMachine *maintain = std::get_if<MaintainMachine>(&order);
-    const MachineId &machine = move != nullptr ? move->machine : maintain->machine;
-    m_inFlight.erase(machine);
-    m_orderedAt[machine] = now;
-    const bool taken = std::holds_alternative<MachineOrderTaken>(result);
-    const MachineRefusal *refusal = std::get_if<MachineRefusal>(&result);
-    logChange("machines",
+    const MoveInstance *move = std::get_if<MoveInstance>(&order);
+    const MaintainInstance *maintain = std::get_if<MaintainInstance>(&order);
+    const InstanceId &instance = instanceOf(order);
+    m_inFlight.erase(instance);
+    m_orderedAt[instance] = now;
+    const bool taken = std::holds_alternative<InstanceOrderTaken>(result);
+    const InstanceRefusal *refusal = std::get_if<InstanceRefusal>(&result);
+    logChange("instances",
               move != nullptr ? "move" : "maintain",
-              {{"machine", machine},
-               {"worker", worker},
-               {"target", move != nullptr ? move->pool : std::to_string(maintain->wave)},
-               {"result",
-                taken                    ? "taken"
-                    : refusal != nullptr ? std::string(toName(*refusal))
-                                         : "unanswered"}});
+              {{"instance", instance}, {"worker", worker}, {"target", targetOf(order)}, {"result", resultText(result)}});
     if (!taken) {
         // Unanswered orders are repeated once the list was read again; they have no effect twice.
-        if (move != nullptr && refusal != nullptr && *refusal == MachineRefusal::Invalid) {
+        if (move != nullptr && refusal != nullptr && *refusal == InstanceRefusal::Invalid) {
             m_pools.noteInvalid(*move);
         }
-        m_orderedAt[machine] = now - OrderShows + ListInterval;
+        m_orderedAt[instance] = now - OrderShows + ListInterval;
         return;
     }
-    if (move != nullptr) {
+    if (maintain == nullptr) {
         m_movesTotal.increment();
     } else {
         m_maintenanceTotal.increment();
         const auto wave = m_waves.find(maintain->wave);
         if (wave != m_waves.end()) {
-            wave->second.noteDone(machine, now);
+            wave->second.noteDone(instance, now);
             m_changed.insert(maintain->wave);
         }
     }
@@ -320,13 +335,13 @@
     }
 }
 
-void MachineKeeper::reportWave(std::uint64_t number, bool completed)
+void FleetKeeper::reportWave(std::uint64_t number, bool completed)
 {
     m_port.reportWave(number, completed, [self = shared_from_this(), number, completed](bool stored) {
         if (self->m_ended) {
             return;
         }
-        logChange("machines",
+        logChange("instances",
                   "wave reported",
                   {{"wave", std::to_string(number)}, {"state", completed ? "completed" : "running"}, {"stored", stored ? "true" : "false"}});
         if (!stored) {
--- a/libs/jobnode/src/jobnode.cpp
+++ b/libs/jobnode/src/jobnode.cpp
@@ -44,14 +44,14 @@
          StorePort givenStore,
          WorkerPort givenWorkers,
          RegistryPort givenRegistry,
-         MachinePort givenMachines,
+         InstancePort givenInstances,
          Metrics &givenMetrics)
         : io(givenIo)
         , settings(std::move(givenSettings))
         , store(std::move(givenStore))
         , workers(std::move(givenWorkers))
         , registry(std::move(givenRegistry))
-        , machines(std::move(givenMachines))
+        , instances(std::move(givenInstances))
         , metrics(givenMetrics)
         , life(toUnixMilliseconds(wallNow()))
         , view(settings.ownership, claimDelayOf(settings))
@@ -68,7 +68,7 @@
     StorePort store;
     WorkerPort workers;
     RegistryPort registry;
-    MachinePort machines;
+    InstancePort instances;
     std::map<std::uint64_t, std::pair<WaveSpec, BootTime>> waves;
     Metrics &metrics;
     const std::int64_t life;
@@ -88,7 +88,7 @@
     /** Workers that successors may take for silent. */
     std::map<WorkerId, std::int64_t> published;
     /** Of the reign that was ended last. */
-    std::map<MachineId, std::int64_t> recentOrders;
+    std::map<InstanceId, std::int64_t> recentOrders;
     /** The latest epoch of this life that is over. */
     std::uint64_t endedEpoch = 0;
     bool claiming = false;
@@ -108,7 +108,7 @@
     void storeRelease(const OwnershipRecord &record, int triesLeft, const std::function<void()> &onDone);
     OwnershipRecord ownRecord() const;
     PredecessorLeases predecessorLeases() const;
-    MachineHandOver machineHandOver() const;
+    InstanceHandOver instanceHandOver() const;
     /** The former owner was an earlier life of this node, which is over. */
     bool isFormerSelf(const OwnershipRecord &record) const;
     bool isOwn(const OwnershipRecord &record) const;
@@ -279,16 +279,16 @@
     return record.node == settings.name && record.life != life;
 }
 
-MachineHandOver JobNode::Impl::machineHandOver() const
+InstanceHandOver JobNode::Impl::instanceHandOver() const
 {
     const BootTime now = BootClock::now();
-    MachineHandOver handOver;
+    InstanceHandOver handOver;
     // The first owner of all follows nobody, and a node goes on with its own orders under a higher token.
     handOver.isExact = !predecessor || predecessor->released || predecessor->node == settings.name;
-    handOver.restFrom = now + settings.machineTimes.handOver;
+    handOver.restFrom = now + settings.instanceTimes.handOver;
     if (predecessor && predecessor->node != settings.name) {
-        for (const auto &[machine, ago] : predecessor->recentMachineOrders) {
-            handOver.heldUntil[machine] = predecessorHeardAt + settings.machineTimes.handOver - std::chrono::milliseconds(ago);
+        for (const auto &[instance, ago] : predecessor->recentInstanceOrders) {
+            handOver.heldUntil[instance] = predecessorHeardAt + settings.instanceTimes.handOver - std::chrono::milliseconds(ago);
         }
     }
     return handOver;
@@ -326,10 +326,10 @@
     owning.set(1);
     published.clear();
     logChange("owner", "taking over", {{"epoch", std::to_string(epoch)}, {"predecessor", predecessor ? predecessor->node : ""}});
-    reign = std::make_shared<Reign>(ReignContext{io, store, workers, registry, machines, metrics, settings.times, settings.ownership, settings.machineTimes},
+    reign = std::make_shared<Reign>(ReignContext{io, store, workers, registry, instances, metrics, settings.times, settings.ownership, settings.instanceTimes},
                                     epoch,
                                     predecessorLeases(),
-                                    machineHandOver(),
+                                    instanceHandOver(),
                                     [weak = weak_from_this()](const std::string &reason) {
                                         if (const auto self = weak.lock()) {
                                             self->endReign(reason);
@@ -465,8 +465,8 @@
 }
 
 JobNode::JobNode(
-    asio::io_context &io, JobNodeSettings settings, StorePort store, WorkerPort workers, RegistryPort registry, MachinePort machines, Metrics &metrics)
-    : m_impl(std::make_shared<Impl>(io, std::move(settings), std::move(store), std::move(workers), std::move(registry), std::move(machines), metrics))
+    asio::io_context &io, JobNodeSettings settings, StorePort store, WorkerPort workers, RegistryPort registry, InstancePort instances, Metrics &metrics)
+    : m_impl(std::make_shared<Impl>(io, std::move(settings), std::move(store), std::move(workers), std::move(registry), std::move(instances), metrics))
 {
     m_impl->build();
 }
@@ -494,10 +494,10 @@
             onDone();
             return;
         }
-        self->recentOrders = self->reign->recentMachineOrders();
+        self->recentOrders = self->reign->recentInstanceOrders();
         OwnershipRecord record = self->ownRecord();
         record.released = true;
-        record.recentMachineOrders = self->recentOrders;
+        record.recentInstanceOrders = self->recentOrders;
         self->endReign("released");
         self->storeRelease(record, ReleaseTries, onDone);
     });
@@ -535,7 +535,7 @@
     }
 }
 
-void JobNode::handle(const JobCall &call, Responder respond)
+void JobNode::handle(const JobCall &call, const Responder &respond)
 {
     m_impl->handle(call, respond);
 }
--- a/libs/jobnode/src/reign.cpp
+++ b/libs/jobnode/src/reign.cpp
@@ -59,12 +59,12 @@
 }
 
 struct Reign::Impl : public std::enable_shared_from_this<Reign::Impl> {
-    Impl(ReignContext givenContext,
+    Impl(const ReignContext &givenContext,
          std::uint64_t givenEpoch,
          PredecessorLeases predecessor,
-         MachineHandOver handOver,
+         InstanceHandOver handOver,
          std::function<void(std::string)> givenOnDeposed)
-        : context(std::move(givenContext))
+        : context(givenContext)
         , epoch(givenEpoch)
         , onDeposed(std::move(givenOnDeposed))
         , scheduler(context.times, givenEpoch, BootClock::now())
@@ -79,14 +79,14 @@
         , reachableWorkers(context.metrics.gauge("workers_reachable", "Workers that answer"))
     {
         scheduler.setPredecessor(std::move(predecessor));
-        machines = std::make_shared<MachineKeeper>(context.machines, scheduler, context.machineTimes, epoch, std::move(handOver), context.metrics);
+        instances = std::make_shared<FleetKeeper>(context.instances, scheduler, context.instanceTimes, epoch, std::move(handOver), context.metrics);
     }
 
     ReignContext context;
     const std::uint64_t epoch;
     std::function<void(std::string)> onDeposed;
     Scheduler scheduler;
-    std::shared_ptr<MachineKeeper> machines;
+    std::shared_ptr<FleetKeeper> instances;
     asio::steady_timer timer;
     asio::steady_timer retryTimer;
     Counter batchesTotal;
@@ -207,7 +207,7 @@
 {
     if (key.rfind(WaveKeyPrefix, 0) == 0) {
         if (const std::optional<WaveRecord> record = Packing::fromBytes<WaveRecord>(bytes)) {
-            machines->restore(*record);
+            instances->restore(*record);
             return;
         }
     } else if (std::optional<JobRecord> record = decodeJob(bytes)) {
@@ -222,7 +222,7 @@
 {
     scheduler.setPolicy(policy);
     for (const auto &[wave, seenAt] : waves) {
-        machines->addWave(wave, seenAt);
+        instances->addWave(wave, seenAt);
     }
     serving = true;
     logChange("owner", "serving", {{"epoch", text(epoch)}, {"jobs", text(restored)}, {"configuration", text(policy->version)}});
@@ -265,8 +265,8 @@
     timer.cancel();
     retryTimer.cancel();
     context.registry.stop();
-    if (machines) {
-        machines->end();
+    if (instances) {
+        instances->end();
     }
     for (const WaitingAnswer &waiting : std::exchange(answers, {})) {
         waiting.respond(JobAnswer::unknown("the owner of the jobs changed"));
@@ -306,7 +306,7 @@
     const BootTime now = BootClock::now();
     if (!settling) {
         scheduler.advance(now, toUnixMilliseconds(wallNow()));
-        machines->advance(now, *policy, now - freshAt < context.ownership.orderFreshness);
+        instances->advance(now, *policy, now - freshAt < context.ownership.orderFreshness);
     }
     storeNext(now);
     executeOrders(now);
@@ -337,7 +337,7 @@
         return;
     }
     RecordBatch batch = scheduler.takeBatch();
-    for (const WaveRecord &wave : machines->takeChanged()) {
+    for (const WaveRecord &wave : instances->takeChanged()) {
         batch.records.emplace_back(WaveKeyPrefix + text(wave.number), Packing::toBytes(wave));
     }
     if (batch.isEmpty()) {
@@ -646,8 +646,8 @@
 }
 
 Reign::Reign(
-    ReignContext context, std::uint64_t epoch, PredecessorLeases predecessor, MachineHandOver handOver, std::function<void(std::string reason)> onDeposed)
-    : m_impl(std::make_shared<Impl>(std::move(context), epoch, std::move(predecessor), std::move(handOver), std::move(onDeposed)))
+    ReignContext context, std::uint64_t epoch, PredecessorLeases predecessor, InstanceHandOver handOver, std::function<void(std::string reason)> onDeposed)
+    : m_impl(std::make_shared<Impl>(context, epoch, std::move(predecessor), std::move(handOver), std::move(onDeposed)))
 {
 }
 
@@ -695,7 +695,7 @@
 void Reign::addWave(const WaveSpec &spec, BootTime seenAt)
 {
     if (m_impl->serving) {
-        m_impl->machines->addWave(spec, seenAt);
+        m_impl->instances->addWave(spec, seenAt);
     } else {
         m_impl->waves.emplace_back(spec, seenAt);
     }
@@ -706,7 +706,7 @@
     m_impl->freshAt = std::max(m_impl->freshAt, sentAt);
 }
 
-void Reign::handle(const JobCall &call, Responder respond)
+void Reign::handle(const JobCall &call, const Responder &respond)
 {
     m_impl->handle(call, respond);
 }
@@ -730,9 +730,9 @@
     return silent;
 }
 
-std::map<MachineId, std::int64_t> Reign::recentMachineOrders() const
+std::map<InstanceId, std::int64_t> Reign::recentInstanceOrders() const
 {
-    return m_impl->machines->recentOrders();
+    return m_impl->instances->recentOrders();
 }
 
 bool Reign::isServing() const
--- a/libs/jobnode/tests/jobnodetest.cpp
+++ b/libs/jobnode/tests/jobnodetest.cpp
@@ -226,16 +226,16 @@
         return port;
     }
 
-    static MachinePort machines()
+    static InstancePort instances()
     {
-        MachinePort port;
-        port.list = [](const std::string &, const MachinePort::ListHandler &handler) {
+        InstancePort port;
+        port.list = [](const std::string &, const InstancePort::ListHandler &handler) {
             handler(std::nullopt);
         };
-        port.order = [](const MachineOrder &, std::uint64_t, const MachinePort::OrderHandler &handler) {
-            handler(MachineRefusal::Later);
+        port.order = [](const InstanceOrder &, std::uint64_t, const InstancePort::OrderHandler &handler) {
+            handler(InstanceRefusal::Later);
         };
-        port.reportWave = [](std::uint64_t, bool, const MachinePort::ReportHandler &handler) {
+        port.reportWave = [](std::uint64_t, bool, const InstancePort::ReportHandler &handler) {
             handler(true);
         };
         return port;
@@ -274,7 +274,7 @@
         settings.name = "node-" + std::to_string(number);
         settings.peerAddress = {"127.0.0.1", 0};
         settings.peerSecret = "secret of this test";
-        nodes.push_back(std::make_unique<JobNode>(io, settings, world.store(), world.workers(), world.registry(), SharedWorld::machines(), metrics));
+        nodes.push_back(std::make_unique<JobNode>(io, settings, world.store(), world.workers(), world.registry(), SharedWorld::instances(), metrics));
         nodes.back()->start();
         nodes.back()->setConfiguration(configuration);
     }
--- a/libs/scheduling/include/scheduling/machines.h
+++ b/libs/scheduling/include/scheduling/instances.h
@@ -15,21 +15,21 @@
 
 namespace Cornelquay {
 
-using MachineId = std::string;
+using InstanceId = std::string;
 
-/** What the control plane says a machine does. */
-enum class MachineState : std::uint8_t {
+/** What the control plane says an instance does. */
+enum class InstancePhase : std::uint8_t {
     Up,
     Moving,
     Maintenance,
     Down,
 };
 
-/** A machine as the control plane lists it. */
-struct MachineFacts {
-    MachineId id;
+/** An instance as the control plane lists it. */
+struct InstanceFacts {
+    InstanceId id;
     std::string pool;
-    MachineState state = MachineState::Up;
+    InstancePhase state = InstancePhase::Up;
     std::string zone;
     std::string rack;
     std::vector<std::string> labels;
@@ -38,9 +38,9 @@
     WorkerId worker;
 };
 
-/** A machine with what runs on it. */
-struct MachineView {
-    MachineFacts facts;
+/** An instance with what runs on it. */
+struct InstanceView {
+    InstanceFacts facts;
     /** Its worker answers, is registered and takes work. */
     bool usable = false;
     std::size_t runs = 0;
@@ -48,48 +48,48 @@
     std::size_t lasting = 0;
     /** When the last of its other runs will have ended, by their progress so far. */
     std::chrono::milliseconds emptyIn{0};
-    /** An order for the machine is under way or just took effect. */
+    /** An order for the instance is under way or just took effect. */
     bool ordered = false;
 };
 
-/** The machine goes to another pool; everything on it ends. */
-struct MoveMachine {
-    MachineId machine;
+/** The instance goes to another pool; everything on it ends. */
+struct MoveInstance {
+    InstanceId instance;
     std::string pool;
 };
 
-/** The machine is maintained for a wave; everything on it ends. */
-struct MaintainMachine {
-    MachineId machine;
+/** The instance is maintained for a wave; everything on it ends. */
+struct MaintainInstance {
+    InstanceId instance;
     std::uint64_t wave = 0;
 };
 
-using MachineOrder = std::variant<MoveMachine, MaintainMachine>;
+using InstanceOrder = std::variant<MoveInstance, MaintainInstance>;
 
 /** Why the control plane provably did not carry out an order. */
-enum class MachineRefusal : std::uint8_t {
+enum class InstanceRefusal : std::uint8_t {
     Fenced,
     /** Not up, or leaving. */
     Busy,
-    /** The machine is not of that wave. */
+    /** The instance is not of that wave. */
     OtherWave,
-    /** No such machine, or the pool is one of other machines. */
+    /** No such instance, or the pool is one of other instances. */
     Invalid,
     /** Too many calls, or the control plane is away. */
     Later,
 };
 
-std::string_view toName(MachineRefusal refusal);
+std::string_view toName(InstanceRefusal refusal);
 
-struct MachineOrderTaken {
+struct InstanceOrderTaken {
 };
 
-using MachineResult = std::variant<MachineOrderTaken, MachineRefusal, OrderUnanswered>;
+using InstanceResult = std::variant<InstanceOrderTaken, InstanceRefusal, OrderUnanswered>;
 
-/** A demand of the operators that machines be maintained. */
+/** A demand of the operators that instances be maintained. */
 struct WaveSpec {
     std::uint64_t number = 0;
-    std::vector<MachineId> machines;
+    std::vector<InstanceId> instances;
     std::chrono::milliseconds duration{0};
     /** Most of them out at once. */
     std::size_t outMax = 1;
@@ -98,7 +98,7 @@
 /** What must last of a wave. */
 struct WaveRecord {
     std::uint64_t number = 0;
-    std::vector<MachineId> done;
+    std::vector<InstanceId> done;
     bool completed = false;
 
     auto fields()
--- a/libs/scheduling/include/scheduling/placement.h
+++ b/libs/scheduling/include/scheduling/placement.h
@@ -33,7 +33,7 @@
     WorkerSession *session = nullptr;
     /** Kept free for a task that found no room. */
     bool reserved = false;
-    /** Its machine is to be maintained soon. */
+    /** Its instance is to be maintained soon. */
     bool leaving = false;
 };
 
--- a/libs/scheduling/include/scheduling/poolplan.h
+++ b/libs/scheduling/include/scheduling/poolplan.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "scheduling/machines.h"
+#include "scheduling/instances.h"
 
 #include <map>
 #include <set>
@@ -21,33 +21,33 @@
     bool standby = false;
 };
 
-/** When machines change their pool. */
+/** When instances change their pool. */
 struct PoolTimes {
-    /** From the order until the machine works in its new pool. */
+    /** From the order until the instance works in its new pool. */
     std::chrono::milliseconds move{1500};
-    /** A machine that had nothing to do for this long is not needed where it is. */
+    /** An instance that had nothing to do for this long is not needed where it is. */
     std::chrono::milliseconds idle{2300};
     /** Work that waits for this long is not served by the next runs that end. */
     std::chrono::milliseconds waiting{150};
-    /** Least time between two moves of one machine. */
+    /** Least time between two moves of one instance. */
     std::chrono::milliseconds settle{2000};
-    /** Machines whose runs end later than this are not emptied for another pool. */
+    /** Instances whose runs end later than this are not emptied for another pool. */
     std::chrono::milliseconds emptyingMost{2500};
 };
 
-/** Which machines move, and which take no new work so that they can. */
+/** Which instances move, and which take no new work so that they can. */
 struct PoolDecision {
-    std::vector<MoveMachine> moves;
-    std::vector<MachineId> cordon;
+    std::vector<MoveInstance> moves;
+    std::vector<InstanceId> cordon;
 };
 
 /**
- * Decides which machines change their pool.
+ * Decides which instances change their pool.
  *
  * Answers the load pattern "each queue in turn asks for several times its mean": each pool is to have
- * what its runs and its waiting work need, or what comes in will need, so that machines are on their
+ * what its runs and its waiting work need, or what comes in will need, so that instances are on their
  * way before the pool is full; when all pools together need more than there is, each gets
- * its part. Machines come from the standby pool, from those that are idle, and from pools that have
+ * its part. Instances come from the standby pool, from those that are idle, and from pools that have
  * more than they need, where the ones that are empty soonest take no new work. What nobody needs goes
  * to the standby pool. Pure; remembers the recent past only.
  */
@@ -56,31 +56,32 @@
 public:
     explicit PoolPlan(PoolTimes times);
 
-    PoolDecision decide(const std::map<MachineId, MachineView> &machines, const std::map<std::string, PoolDemand> &pools, BootTime now);
-    /** The machine cannot go to this pool. */
-    void noteInvalid(const MoveMachine &move);
+    PoolDecision decide(const std::map<InstanceId, InstanceView> &instances, const std::map<std::string, PoolDemand> &pools, BootTime now);
+    /** The instance cannot go to this pool. */
+    void noteInvalid(const MoveInstance &move);
 
 private:
     /** A pool during one decision. */
     struct Balance {
         std::size_t have = 0;
         std::size_t want = 0;
-        /** Machines that must stay for their lasting runs. */
+        /** Instances that must stay for their lasting runs. */
         std::size_t bound = 0;
-        std::vector<const MachineView *> idle;
-        std::vector<const MachineView *> busy;
+        std::vector<const InstanceView *> idle;
+        std::vector<const InstanceView *> busy;
     };
 
-    void observe(const std::map<MachineId, MachineView> &machines, const std::map<std::string, PoolDemand> &pools, BootTime now);
-    std::map<std::string, Balance> weigh(const std::map<MachineId, MachineView> &machines, const std::map<std::string, PoolDemand> &pools, BootTime now) const;
-    bool isSettled(const MachineId &machine, BootTime now) const;
-    bool mayMove(const MachineView &view, const std::string &pool) const;
+    void observe(const std::map<InstanceId, InstanceView> &instances, const std::map<std::string, PoolDemand> &pools, BootTime now);
+    std::map<std::string, Balance>
+    weigh(const std::map<InstanceId, InstanceView> &instances, const std::map<std::string, PoolDemand> &pools, BootTime now) const;
+    bool isSettled(const InstanceId &instance, BootTime now) const;
+    bool mayMove(const InstanceView &view, const std::string &pool) const;
 
     PoolTimes m_times;
-    std::map<MachineId, BootTime> m_busyAt;
-    std::map<MachineId, BootTime> m_movedAt;
+    std::map<InstanceId, BootTime> m_busyAt;
+    std::map<InstanceId, BootTime> m_movedAt;
     std::map<std::string, BootTime> m_waitsSince;
-    std::set<std::pair<MachineId, std::string>> m_invalid;
+    std::set<std::pair<InstanceId, std::string>> m_invalid;
 };
 
 }
--- a/libs/scheduling/include/scheduling/scheduler.h
+++ b/libs/scheduling/include/scheduling/scheduler.h
@@ -152,7 +152,7 @@
     /** Lasting tasks go elsewhere if they can, as these will be cordoned; replaces the former set. */
     void setLeaving(std::vector<WorkerId> workers);
     /**
-     * An order for the worker's machine was taken, which as a rule ends the worker. It gets no work until
+     * An order for the worker's instance was taken, which as a rule ends the worker. It gets no work until
      * it is seen again. What ran there is not taken for ended: a repeated order is taken without effect.
      */
     void workerWithdrawn(const WorkerId &worker, BootTime now);
--- a/libs/scheduling/include/scheduling/workersession.h
+++ b/libs/scheduling/include/scheduling/workersession.h
@@ -34,12 +34,8 @@
 
 /** A run that is, may be or is about to be on a worker; it takes up its room. */
 struct LiveRun {
-    std::uint32_t run = 0;
     Resources demand;
-    bool lasting = false;
-    bool fills = false;
     std::int64_t tailTargetMs = 0;
-    StartProgress start = StartProgress::Unstored;
     /** The batch of records that makes the placement durable. */
     std::uint64_t batch = 0;
     /** Token of the latest start order. */
@@ -47,13 +43,17 @@
     /** When the placement was made; later, when the start was accepted. */
     BootTime since{};
     std::string ticket;
-    StopProgress stop = StopProgress::NotWanted;
     BootTime stopSentAt{};
-    int percent = -1;
     /** When the percentage last changed. */
     BootTime percentAt{};
     std::int64_t load = -1;
+    std::uint32_t run = 0;
+    int percent = -1;
     int pace = 100;
+    StartProgress start = StartProgress::Unstored;
+    StopProgress stop = StopProgress::NotWanted;
+    bool lasting = false;
+    bool fills = false;
 };
 
 /** How a worker's lease and clock are judged. */
--- a/libs/scheduling/src/poolplan.cpp
+++ b/libs/scheduling/src/poolplan.cpp
@@ -8,26 +8,26 @@
 namespace {
 
 // Room that is kept above what runs, so that the first jobs of a surge need not wait for a move.
-constexpr std::size_t SpareMachines = 1;
-// A pool gets one more machine once its work fills this much of it.
+constexpr std::size_t SpareInstances = 1;
+// A pool gets one more instance once its work fills this much of it.
 constexpr double FillOfLast = 0.3;
 // Estimates of what comes in are rough; that part of them is prepared for.
 constexpr double OfferedPart = 0.9;
 // Moves in one decision; the next one sees what they did.
 constexpr std::size_t MovesAtOnce = 12;
 
-double machinesFor(const Resources &demand, const Resources &machine)
+double instancesFor(const Resources &demand, const Resources &instance)
 {
     const auto part = [](std::int64_t asked, std::int64_t has) {
         return has > 0 ? static_cast<double>(asked) / static_cast<double>(has) : 0.0;
     };
-    return std::max({part(demand.cpu, machine.cpu), part(demand.memory, machine.memory), part(demand.gpu, machine.gpu)});
+    return std::max({part(demand.cpu, instance.cpu), part(demand.memory, instance.memory), part(demand.gpu, instance.gpu)});
 }
 
-Resources largestOf(const std::map<MachineId, MachineView> &machines)
+Resources largestOf(const std::map<InstanceId, InstanceView> &instances)
 {
     Resources size;
-    for (const auto &[id, view] : machines) {
+    for (const auto &[id, view] : instances) {
         size.cpu = std::max(size.cpu, view.facts.capacity.cpu);
         size.memory = std::max(size.memory, view.facts.capacity.memory);
         size.gpu = std::max(size.gpu, view.facts.capacity.gpu);
@@ -50,30 +50,30 @@
 {
 }
 
-void PoolPlan::noteInvalid(const MoveMachine &move)
+void PoolPlan::noteInvalid(const MoveInstance &move)
 {
-    m_invalid.insert({move.machine, move.pool});
+    m_invalid.insert({move.instance, move.pool});
 }
 
-bool PoolPlan::mayMove(const MachineView &view, const std::string &pool) const
+bool PoolPlan::mayMove(const InstanceView &view, const std::string &pool) const
 {
     return m_invalid.count({view.facts.id, pool}) == 0;
 }
 
-bool PoolPlan::isSettled(const MachineId &machine, BootTime now) const
+bool PoolPlan::isSettled(const InstanceId &instance, BootTime now) const
 {
-    const auto moved = m_movedAt.find(machine);
+    const auto moved = m_movedAt.find(instance);
     return moved == m_movedAt.end() || now - moved->second >= m_times.settle;
 }
 
-void PoolPlan::observe(const std::map<MachineId, MachineView> &machines, const std::map<std::string, PoolDemand> &pools, BootTime now)
+void PoolPlan::observe(const std::map<InstanceId, InstanceView> &instances, const std::map<std::string, PoolDemand> &pools, BootTime now)
 {
-    for (const auto &[id, view] : machines) {
-        const bool busy = view.runs > 0 || !view.usable || view.facts.state != MachineState::Up;
+    for (const auto &[id, view] : instances) {
+        const bool busy = view.runs > 0 || !view.usable || view.facts.state != InstancePhase::Up;
         if (busy || m_busyAt.count(id) == 0) {
             m_busyAt[id] = now;
         }
-        if (view.facts.state == MachineState::Moving) {
+        if (view.facts.state == InstancePhase::Moving) {
             m_movedAt[id] = now;
         }
     }
@@ -87,19 +87,19 @@
 }
 
 std::map<std::string, PoolPlan::Balance>
-PoolPlan::weigh(const std::map<MachineId, MachineView> &machines, const std::map<std::string, PoolDemand> &pools, BootTime now) const
+PoolPlan::weigh(const std::map<InstanceId, InstanceView> &instances, const std::map<std::string, PoolDemand> &pools, BootTime now) const
 {
-    const Resources size = largestOf(machines);
+    const Resources size = largestOf(instances);
     std::map<std::string, Balance> balances;
     std::size_t total = 0;
-    for (const auto &[id, view] : machines) {
+    for (const auto &[id, view] : instances) {
         Balance &balance = balances[view.facts.pool];
-        if (view.facts.state == MachineState::Down) {
+        if (view.facts.state == InstancePhase::Down) {
             continue;
         }
         ++total;
         ++balance.have;
-        if (view.facts.state != MachineState::Up || view.ordered) {
+        if (view.facts.state != InstancePhase::Up || view.ordered) {
             continue;
         }
         if (view.lasting > 0) {
@@ -118,10 +118,10 @@
         if (demand.standby) {
             continue;
         }
-        const double present = machinesFor(waited ? demand.used + demand.backlog : demand.used, size);
-        const double machinesNeeded = std::max(present, OfferedPart * machinesFor(demand.offered, size));
-        const auto needed = static_cast<std::size_t>(std::max(0.0, std::ceil(machinesNeeded - FillOfLast)));
-        balance.want = std::max(needed, balance.bound) + SpareMachines;
+        const double present = instancesFor(waited ? demand.used + demand.backlog : demand.used, size);
+        const double instancesNeeded = std::max(present, OfferedPart * instancesFor(demand.offered, size));
+        const auto needed = static_cast<std::size_t>(std::max(0.0, std::ceil(instancesNeeded - FillOfLast)));
+        balance.want = std::max(needed, balance.bound) + SpareInstances;
         asked += static_cast<double>(balance.want);
     }
     if (asked > static_cast<double>(total) && asked > 0) {
@@ -133,21 +133,21 @@
     return balances;
 }
 
-PoolDecision PoolPlan::decide(const std::map<MachineId, MachineView> &machines, const std::map<std::string, PoolDemand> &pools, BootTime now)
+PoolDecision PoolPlan::decide(const std::map<InstanceId, InstanceView> &instances, const std::map<std::string, PoolDemand> &pools, BootTime now)
 {
-    observe(machines, pools, now);
+    observe(instances, pools, now);
     const std::string standby = findStandby(pools);
-    std::map<std::string, Balance> balances = weigh(machines, pools, now);
+    std::map<std::string, Balance> balances = weigh(instances, pools, now);
     PoolDecision decision;
 
     // Whoever has too much gives what is idle; the standby pool gives all.
-    std::vector<const MachineView *> free;
+    std::vector<const InstanceView *> free;
     for (auto &[pool, balance] : balances) {
-        std::sort(balance.idle.begin(), balance.idle.end(), [this](const MachineView *a, const MachineView *b) {
+        std::sort(balance.idle.begin(), balance.idle.end(), [this](const InstanceView *a, const InstanceView *b) {
             return m_busyAt.at(a->facts.id) < m_busyAt.at(b->facts.id);
         });
         std::size_t surplus = pool == standby ? balance.idle.size() : balance.have - std::min(balance.have, balance.want);
-        for (const MachineView *view : balance.idle) {
+        for (const InstanceView *view : balance.idle) {
             if (surplus == 0) {
                 break;
             }
@@ -157,7 +157,7 @@
             }
         }
     }
-    std::stable_partition(free.begin(), free.end(), [&](const MachineView *view) {
+    std::stable_partition(free.begin(), free.end(), [&](const InstanceView *view) {
         return view->facts.pool == standby;
     });
 
@@ -180,11 +180,11 @@
         if (pool == standby || surplus <= balance.idle.size() || lacking == 0) {
             continue;
         }
-        std::sort(balance.busy.begin(), balance.busy.end(), [](const MachineView *a, const MachineView *b) {
+        std::sort(balance.busy.begin(), balance.busy.end(), [](const InstanceView *a, const InstanceView *b) {
             return std::tuple(a->emptyIn, a->facts.id) < std::tuple(b->emptyIn, b->facts.id);
         });
         std::size_t most = std::min(surplus - balance.idle.size(), lacking);
-        for (const MachineView *view : balance.busy) {
+        for (const InstanceView *view : balance.busy) {
             if (most == 0 || view->emptyIn > m_times.emptyingMost) {
                 break;
             }
@@ -193,7 +193,7 @@
             --lacking;
         }
     }
-    for (const MachineView *view : free) {
+    for (const InstanceView *view : free) {
         const bool rests = standby.empty() || view->facts.pool == standby;
         if (!rests && now - m_busyAt.at(view->facts.id) >= m_times.idle && mayMove(*view, standby) && decision.moves.size() < MovesAtOnce) {
             decision.moves.push_back({view->facts.id, standby});
--- a/libs/scheduling/src/waveplan.cpp
+++ b/libs/scheduling/src/waveplan.cpp
@@ -10,16 +10,16 @@
 
 using namespace std::chrono_literals;
 
-// A machine may be out a little longer than its maintenance takes.
+// An instance may be out a little longer than its maintenance takes.
 constexpr auto OutMargin = 800ms;
-// Most of a pool that is emptied at once, as one in so many machines.
+// Most of a pool that is emptied at once, as one in so many instances.
 constexpr std::size_t PoolPart = 3;
 
 constexpr std::array<std::string_view, 5> RefusalNames = {"fenced", "busy", "other-wave", "invalid", "later"};
 
 }
 
-std::string_view toName(MachineRefusal refusal)
+std::string_view toName(InstanceRefusal refusal)
 {
     return RefusalNames.at(static_cast<std::size_t>(refusal));
 }
@@ -37,11 +37,11 @@
     m_completed = m_completed || record.completed;
 }
 
-void WavePlan::noteDone(const MachineId &machine, BootTime now)
+void WavePlan::noteDone(const InstanceId &instance, BootTime now)
 {
-    m_done.insert(machine);
-    m_doneAt[machine] = now;
-    m_emptying.erase(machine);
+    m_done.insert(instance);
+    m_doneAt[instance] = now;
+    m_emptying.erase(instance);
 }
 
 void WavePlan::noteCompleted()
@@ -64,36 +64,36 @@
     return m_completed;
 }
 
-bool WavePlan::isOut(const MachineId &machine, const MachineView &view, BootTime now) const
+bool WavePlan::isOut(const InstanceId &instance, const InstanceView &view, BootTime now) const
 {
-    const auto done = m_doneAt.find(machine);
+    const auto done = m_doneAt.find(instance);
     const bool justDone = done != m_doneAt.end() && now - done->second < m_times.maintenance + OutMargin;
-    return justDone || view.facts.state == MachineState::Maintenance || view.ordered;
+    return justDone || view.facts.state == InstancePhase::Maintenance || view.ordered;
 }
 
-std::size_t WavePlan::wantedAtOnce(const std::vector<const MachineView *> &left, BootTime now) const
+std::size_t WavePlan::wantedAtOnce(const std::vector<const InstanceView *> &left, BootTime now) const
 {
     const auto timeLeft = std::max<std::chrono::milliseconds>(500ms, m_endsAt - now - 2 * m_times.forceBefore);
     std::chrono::milliseconds work{0};
-    for (const MachineView *view : left) {
+    for (const InstanceView *view : left) {
         work += m_times.maintenance + m_times.emptying + m_times.evacuation * static_cast<int>(view->lasting);
     }
     const double wanted = std::ceil(static_cast<double>(work.count()) / static_cast<double>(timeLeft.count()));
     return std::clamp<std::size_t>(static_cast<std::size_t>(wanted), 1, m_spec.outMax);
 }
 
-WaveDecision WavePlan::decide(const std::map<MachineId, MachineView> &machines, const std::map<std::string, Resources> &backlog, BootTime now)
+WaveDecision WavePlan::decide(const std::map<InstanceId, InstanceView> &instances, const std::map<std::string, Resources> &backlog, BootTime now)
 {
     WaveDecision decision;
     std::size_t out = 0;
-    std::vector<const MachineView *> left;
+    std::vector<const InstanceView *> left;
     std::map<std::string, std::size_t> poolSizes;
-    for (const auto &[id, view] : machines) {
+    for (const auto &[id, view] : instances) {
         ++poolSizes[view.facts.pool];
     }
-    for (const MachineId &id : m_spec.machines) {
-        const auto found = machines.find(id);
-        if (found == machines.end()) {
+    for (const InstanceId &id : m_spec.instances) {
+        const auto found = instances.find(id);
+        if (found == instances.end()) {
             // It has left for good.
             continue;
         }
@@ -102,7 +102,7 @@
             left.push_back(&found->second);
         }
     }
-    for (const MachineView *view : left) {
+    for (const InstanceView *view : left) {
         decision.due.push_back(view->facts.id);
     }
     if (left.empty()) {
@@ -110,21 +110,21 @@
         return decision;
     }
     const bool force = now > m_endsAt - m_times.forceBefore;
-    std::sort(left.begin(), left.end(), [&](const MachineView *a, const MachineView *b) {
-        const auto key = [&](const MachineView *view) {
+    std::sort(left.begin(), left.end(), [&](const InstanceView *a, const InstanceView *b) {
+        const auto key = [&](const InstanceView *view) {
             const auto waiting = backlog.find(view->facts.pool);
             const bool busyPool = waiting != backlog.end() && waiting->second.cpu > 0;
-            // Lasting runs take long to go elsewhere, one after the other, so their machines are begun with.
+            // Lasting runs take long to go elsewhere, one after the other, so their instances are begun with.
             return std::tuple(m_emptying.count(view->facts.id) == 0, view->runs != 0, view->lasting == 0, busyPool, view->runs, view->facts.id);
         };
         return key(a) < key(b);
     });
     std::map<std::string, std::size_t> emptyingByPool;
-    std::set<MachineId> emptying;
+    std::set<InstanceId> emptying;
     const std::size_t wanted = wantedAtOnce(left, now);
-    for (const MachineView *view : left) {
-        const MachineId &id = view->facts.id;
-        if (view->facts.state != MachineState::Up || view->ordered) {
+    for (const InstanceView *view : left) {
+        const InstanceId &id = view->facts.id;
+        if (view->facts.state != InstancePhase::Up || view->ordered) {
             continue;
         }
         const bool ready = view->runs == 0 || (force && view->lasting == 0);
--- a/libs/scheduling/tests/plantest.cpp
+++ b/libs/scheduling/tests/plantest.cpp
@@ -16,9 +16,9 @@
 constexpr BootTime Start{std::chrono::milliseconds(1000000)};
 constexpr Resources Capacity{16000, 32000, 0};
 
-MachineView makeMachine(const std::string &id, const std::string &pool, std::size_t runs)
+InstanceView makeInstance(const std::string &id, const std::string &pool, std::size_t runs)
 {
-    MachineView view;
+    InstanceView view;
     view.facts.id = id;
     view.facts.pool = pool;
     view.facts.capacity = Capacity;
@@ -29,21 +29,21 @@
     return view;
 }
 
-std::map<MachineId, MachineView> makeMachines(const std::vector<std::pair<std::string, std::size_t>> &pools)
+std::map<InstanceId, InstanceView> makeInstances(const std::vector<std::pair<std::string, std::size_t>> &pools)
 {
-    std::map<MachineId, MachineView> machines;
+    std::map<InstanceId, InstanceView> instances;
     for (const auto &[pool, count] : pools) {
         for (std::size_t number = 0; number < count; ++number) {
             const std::string id = pool + std::to_string(number);
-            machines.emplace(id, makeMachine(id, pool, 0));
+            instances.emplace(id, makeInstance(id, pool, 0));
         }
     }
-    return machines;
+    return instances;
 }
 
 std::size_t movesTo(const PoolDecision &decision, const std::string &pool)
 {
-    return static_cast<std::size_t>(std::count_if(decision.moves.begin(), decision.moves.end(), [&](const MoveMachine &move) {
+    return static_cast<std::size_t>(std::count_if(decision.moves.begin(), decision.moves.end(), [&](const MoveInstance &move) {
         return move.pool == pool;
     }));
 }
@@ -73,41 +73,41 @@
 BOOST_AUTO_TEST_CASE(aSurgeIsServedFromTheStandbyPoolFirst)
 {
     PoolPlan plan{PoolTimes{}};
-    const auto machines = makeMachines({{"surge", 2}, {"calm", 4}, {"rest", 4}});
+    const auto instances = makeInstances({{"surge", 2}, {"calm", 4}, {"rest", 4}});
     std::map<std::string, PoolDemand> pools;
     pools["surge"].used = {32000, 0, 0};
     pools["surge"].backlog = {48000, 0, 0};
     pools["calm"];
     pools["rest"].standby = true;
-    // What has only just begun to wait counts not yet; the pool is given its spare machine.
-    BOOST_TEST(movesTo(plan.decide(machines, pools, Start), "surge") == 1U);
-    const PoolDecision decision = plan.decide(machines, pools, Start + 200ms);
+    // What has only just begun to wait counts not yet; the pool is given its spare instance.
+    BOOST_TEST(movesTo(plan.decide(instances, pools, Start), "surge") == 1U);
+    const PoolDecision decision = plan.decide(instances, pools, Start + 200ms);
     BOOST_TEST(movesTo(decision, "surge") == 4U);
-    for (const MoveMachine &move : decision.moves) {
-        BOOST_TEST(move.machine.substr(0, 4) == "rest");
+    for (const MoveInstance &move : decision.moves) {
+        BOOST_TEST(move.instance.substr(0, 4) == "rest");
     }
 }
 
 // Load pattern: a queue's surge follows another's at once.
-BOOST_AUTO_TEST_CASE(idleMachinesOfACalmPoolHelp)
+BOOST_AUTO_TEST_CASE(idleInstancesOfACalmPoolHelp)
 {
     PoolPlan plan{PoolTimes{}};
-    const auto machines = makeMachines({{"surge", 1}, {"calm", 6}});
+    const auto instances = makeInstances({{"surge", 1}, {"calm", 6}});
     std::map<std::string, PoolDemand> pools;
     pools["surge"].used = {16000, 0, 0};
     pools["surge"].backlog = {64000, 0, 0};
     pools["calm"];
-    plan.decide(machines, pools, Start);
-    const PoolDecision decision = plan.decide(machines, pools, Start + 200ms);
+    plan.decide(instances, pools, Start);
+    const PoolDecision decision = plan.decide(instances, pools, Start + 200ms);
     BOOST_TEST(movesTo(decision, "surge") == 5U);
 }
 
-// Load pattern: a pool keeps many half-used machines while another has work waiting.
-BOOST_AUTO_TEST_CASE(busyMachinesOfAPoolWithASurplusAreEmptied)
+// Load pattern: a pool keeps many half-used instances while another has work waiting.
+BOOST_AUTO_TEST_CASE(busyInstancesOfAPoolWithASurplusAreEmptied)
 {
     PoolPlan plan{PoolTimes{}};
-    std::map<MachineId, MachineView> machines = makeMachines({{"surge", 1}, {"holder", 8}});
-    for (auto &[id, view] : machines) {
+    std::map<InstanceId, InstanceView> instances = makeInstances({{"surge", 1}, {"holder", 8}});
+    for (auto &[id, view] : instances) {
         view.runs = 2;
         view.emptyIn = id == "holder7" ? 100ms : 900ms;
     }
@@ -115,8 +115,8 @@
     pools["surge"].used = {16000, 0, 0};
     pools["surge"].backlog = {40000, 0, 0};
     pools["holder"].used = {32000, 0, 0};
-    plan.decide(machines, pools, Start);
-    const PoolDecision decision = plan.decide(machines, pools, Start + 200ms);
+    plan.decide(instances, pools, Start);
+    const PoolDecision decision = plan.decide(instances, pools, Start + 200ms);
     BOOST_TEST(decision.moves.empty());
     BOOST_REQUIRE(!decision.cordon.empty());
     BOOST_TEST(decision.cordon.front() == "holder7");
@@ -127,8 +127,8 @@
 BOOST_AUTO_TEST_CASE(aShortageIsShared)
 {
     PoolPlan plan{PoolTimes{}};
-    std::map<MachineId, MachineView> machines = makeMachines({{"one", 8}, {"two", 2}});
-    for (auto &[id, view] : machines) {
+    std::map<InstanceId, InstanceView> instances = makeInstances({{"one", 8}, {"two", 2}});
+    for (auto &[id, view] : instances) {
         view.runs = 3;
     }
     std::map<std::string, PoolDemand> pools;
@@ -136,8 +136,8 @@
     pools["one"].backlog = {160000, 0, 0};
     pools["two"].used = {32000, 0, 0};
     pools["two"].backlog = {256000, 0, 0};
-    plan.decide(machines, pools, Start);
-    const PoolDecision decision = plan.decide(machines, pools, Start + 200ms);
+    plan.decide(instances, pools, Start);
+    const PoolDecision decision = plan.decide(instances, pools, Start + 200ms);
     BOOST_TEST(decision.cordon.size() >= 2U);
     BOOST_TEST(decision.cordon.size() <= 4U);
 }
@@ -145,28 +145,28 @@
 BOOST_AUTO_TEST_CASE(whatNobodyNeedsRestsAfterAWhile)
 {
     PoolPlan plan{PoolTimes{}};
-    const auto machines = makeMachines({{"calm", 4}, {"rest", 1}});
+    const auto instances = makeInstances({{"calm", 4}, {"rest", 1}});
     std::map<std::string, PoolDemand> pools;
     pools["calm"];
     pools["rest"].standby = true;
-    BOOST_TEST(plan.decide(machines, pools, Start).moves.empty());
+    BOOST_TEST(plan.decide(instances, pools, Start).moves.empty());
     const PoolTimes times;
-    BOOST_TEST(movesTo(plan.decide(machines, pools, Start + times.idle + 100ms), "rest") == 3U);
+    BOOST_TEST(movesTo(plan.decide(instances, pools, Start + times.idle + 100ms), "rest") == 3U);
 }
 
-BOOST_AUTO_TEST_CASE(machinesWithLastingTasksStay)
+BOOST_AUTO_TEST_CASE(instancesWithLastingTasksStay)
 {
     PoolPlan plan{PoolTimes{}};
-    std::map<MachineId, MachineView> machines = makeMachines({{"surge", 1}, {"calm", 3}});
-    for (auto &[id, view] : machines) {
+    std::map<InstanceId, InstanceView> instances = makeInstances({{"surge", 1}, {"calm", 3}});
+    for (auto &[id, view] : instances) {
         view.runs = 1;
         view.lasting = view.facts.pool == "calm" ? 1 : 0;
     }
     std::map<std::string, PoolDemand> pools;
     pools["surge"].backlog = {64000, 0, 0};
     pools["calm"];
-    plan.decide(machines, pools, Start);
-    const PoolDecision decision = plan.decide(machines, pools, Start + 200ms);
+    plan.decide(instances, pools, Start);
+    const PoolDecision decision = plan.decide(instances, pools, Start + 200ms);
     BOOST_TEST(decision.moves.empty());
     BOOST_TEST(decision.cordon.empty());
 }
@@ -174,70 +174,70 @@
 BOOST_AUTO_TEST_CASE(aRefusedPoolIsNotTriedAgain)
 {
     PoolPlan plan{PoolTimes{}};
-    const auto machines = makeMachines({{"surge", 1}, {"rest", 1}});
+    const auto instances = makeInstances({{"surge", 1}, {"rest", 1}});
     std::map<std::string, PoolDemand> pools;
     pools["surge"].backlog = {64000, 0, 0};
     pools["rest"].standby = true;
     plan.noteInvalid({"rest0", "surge"});
-    plan.decide(machines, pools, Start);
-    BOOST_TEST(plan.decide(machines, pools, Start + 200ms).moves.empty());
+    plan.decide(instances, pools, Start);
+    BOOST_TEST(plan.decide(instances, pools, Start + 200ms).moves.empty());
 }
 
 BOOST_AUTO_TEST_CASE(aWaveNeverHasMoreOutThanItMay)
 {
     WaveSpec spec{1, {}, 20000ms, 2};
-    std::map<MachineId, MachineView> machines = makeMachines({{"pool", 6}});
-    for (const auto &[id, view] : machines) {
-        spec.machines.push_back(id);
+    std::map<InstanceId, InstanceView> instances = makeInstances({{"pool", 6}});
+    for (const auto &[id, view] : instances) {
+        spec.instances.push_back(id);
     }
     WavePlan wave(spec, WaveTimes{}, Start);
-    WaveDecision decision = wave.decide(machines, {}, Start);
+    WaveDecision decision = wave.decide(instances, {}, Start);
     BOOST_TEST(decision.maintain.size() == 2U);
-    for (const MaintainMachine &order : decision.maintain) {
-        wave.noteDone(order.machine, Start);
+    for (const MaintainInstance &order : decision.maintain) {
+        wave.noteDone(order.instance, Start);
     }
-    BOOST_TEST(wave.decide(machines, {}, Start + 100ms).maintain.empty());
+    BOOST_TEST(wave.decide(instances, {}, Start + 100ms).maintain.empty());
     // Other orders count as out too, until the list says otherwise.
     const WaveTimes times;
     const BootTime later = Start + times.maintenance + 1000ms;
-    machines.at("pool5").ordered = true;
-    BOOST_TEST(wave.decide(machines, {}, later).maintain.size() == 1U);
+    instances.at("pool5").ordered = true;
+    BOOST_TEST(wave.decide(instances, {}, later).maintain.size() == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(aWaveBeginsWithLastingTasksAndEndsInTime)
 {
     WaveSpec spec{1, {"pool0", "pool1", "pool2"}, 12000ms, 3};
-    std::map<MachineId, MachineView> machines = makeMachines({{"pool", 9}});
-    for (auto &[id, view] : machines) {
+    std::map<InstanceId, InstanceView> instances = makeInstances({{"pool", 9}});
+    for (auto &[id, view] : instances) {
         view.runs = 4;
     }
-    machines.at("pool1").lasting = 2;
+    instances.at("pool1").lasting = 2;
     WavePlan wave(spec, WaveTimes{}, Start);
-    const WaveDecision first = wave.decide(machines, {}, Start);
+    const WaveDecision first = wave.decide(instances, {}, Start);
     BOOST_TEST(first.maintain.empty());
     BOOST_REQUIRE(!first.evacuate.empty());
     BOOST_TEST(first.evacuate.front() == "pool1");
     BOOST_TEST(first.due.size() == 3U);
     // Near the end runs are not waited for, but lasting ones are.
-    const WaveDecision last = wave.decide(machines, {}, Start + 11000ms);
+    const WaveDecision last = wave.decide(instances, {}, Start + 11000ms);
     BOOST_TEST(last.maintain.size() == 2U);
-    for (const MaintainMachine &order : last.maintain) {
-        BOOST_TEST(order.machine != "pool1");
+    for (const MaintainInstance &order : last.maintain) {
+        BOOST_TEST(order.instance != "pool1");
     }
 }
 
-BOOST_AUTO_TEST_CASE(aWaveIsCompleteWithoutTheMachinesThatLeft)
+BOOST_AUTO_TEST_CASE(aWaveIsCompleteWithoutTheInstancesThatLeft)
 {
     const WaveSpec spec{7, {"pool0", "gone"}, 12000ms, 1};
-    const auto machines = makeMachines({{"pool", 1}});
+    const auto instances = makeInstances({{"pool", 1}});
     WavePlan wave(spec, WaveTimes{}, Start);
-    BOOST_TEST(!wave.decide(machines, {}, Start).completed);
+    BOOST_TEST(!wave.decide(instances, {}, Start).completed);
     wave.noteDone("pool0", Start);
-    BOOST_TEST(wave.decide(machines, {}, Start + 100ms).completed);
+    BOOST_TEST(wave.decide(instances, {}, Start + 100ms).completed);
     // A successor goes on from the record.
     WavePlan next(spec, WaveTimes{}, Start + 5000ms);
     next.restore(wave.record());
-    BOOST_TEST(next.decide(machines, {}, Start + 5000ms).completed);
+    BOOST_TEST(next.decide(instances, {}, Start + 5000ms).completed);
 }
 
 // Load pattern: a worker fails all that it starts and looks the least loaded for it.
@@ -282,7 +282,7 @@
     BOOST_TEST((choosePlacement(request, open) == nullptr));
 }
 
-// Load pattern: demand comes by turns, and machines in pools are paid for.
+// Load pattern: demand comes by turns, and instances in pools are paid for.
 BOOST_AUTO_TEST_CASE(workersInUseAreFilledFirst)
 {
     WorkerSession idle = makeSession("idle", "r1-1");
@@ -299,7 +299,7 @@
     BOOST_TEST(choosePlacement(request, open)->session->facts().id == "used");
 }
 
-BOOST_AUTO_TEST_CASE(lastingTasksOfAStepAreSpreadAndKeptOffLeavingMachines)
+BOOST_AUTO_TEST_CASE(lastingTasksOfAStepAreSpreadAndKeptOffLeavingInstances)
 {
     WorkerSession one = makeSession("one", "r1-1");
     WorkerSession two = makeSession("two", "r1-2");
--- a/scripts/demo-jobs.sh
+++ b/scripts/demo-jobs.sh
@@ -44,7 +44,7 @@
 metrics: "127.0.0.1:$((port + 3))"
 peer-secret: secret of this demonstration
 store: "$(value_of "$FOLDER/platform" store)"
-machines: "$(value_of "$FOLDER/platform" machines)"
+control-plane: "$(value_of "$FOLDER/platform" machines)"
 YAML
     build/tools/cornelquay-jobd/cornelquay-jobd "$FOLDER/node-$node.yaml" >"$FOLDER/node-$node.log" &
     PIDS+=("$!")
