Mend what the linter found in the new libraries

Cause: defaulted three-way comparisons confuse the linter's rule on nullptr; parameters were copied. Change: explicit order of tasks; parameters by reference.

--- a/libs/jobnode/src/reign.cpp
+++ b/libs/jobnode/src/reign.cpp
@@ -717,7 +717,7 @@
     for (const auto &[worker, left] : silentWorkers) {
         workers.insert(worker);
     }
-    m_impl->scheduler.setPublishedSilent(std::move(workers));
+    m_impl->scheduler.setPublishedSilent(workers);
     m_impl->schedulePump();
 }
 
--- a/libs/jobs/include/jobs/job.h
+++ b/libs/jobs/include/jobs/job.h
@@ -2,7 +2,6 @@
 
 #include "jobs/jobspec.h"
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -25,7 +24,11 @@
     std::uint32_t step = 0;
     std::uint32_t index = 0;
 
-    auto operator<=>(const TaskRef &) const = default;
+    bool operator==(const TaskRef &) const = default;
+    bool operator<(const TaskRef &other) const
+    {
+        return std::tie(occurrence, step, index) < std::tie(other.occurrence, other.step, other.index);
+    }
 };
 
 /** One task of the fleet. */
@@ -33,7 +36,11 @@
     JobId job;
     TaskRef ref;
 
-    auto operator<=>(const TaskName &) const = default;
+    bool operator==(const TaskName &) const = default;
+    bool operator<(const TaskName &other) const
+    {
+        return std::tie(job, ref) < std::tie(other.job, other.ref);
+    }
 };
 
 /** What submitters are told of a job. */
--- a/libs/scheduling/include/scheduling/scheduler.h
+++ b/libs/scheduling/include/scheduling/scheduler.h
@@ -143,7 +143,7 @@
 
     // Commands: the fleet.
     /** Successors were told of these workers as silent; their leases are extended once they were told otherwise. */
-    void setPublishedSilent(std::set<WorkerId> workers);
+    void setPublishedSilent(const std::set<WorkerId> &workers);
     void setPolicy(std::shared_ptr<const FleetPolicy> policy);
     void workerSeen(const WorkerFacts &facts, BootTime now);
     void workerRemoved(const WorkerId &worker);
--- a/libs/scheduling/src/scheduler.cpp
+++ b/libs/scheduling/src/scheduler.cpp
@@ -138,7 +138,7 @@
     m_impl->predecessor = std::move(leases);
 }
 
-void Scheduler::setPublishedSilent(std::set<WorkerId> workers)
+void Scheduler::setPublishedSilent(const std::set<WorkerId> &workers)
 {
     for (auto &[id, session] : m_impl->workers) {
         session.setLeaseHeldBack(workers.count(id) != 0);
--- a/libs/scheduling/src/schedulerplacing.cpp
+++ b/libs/scheduling/src/schedulerplacing.cpp
@@ -235,6 +235,7 @@
         return;
     }
     std::vector<WorkerId> ids;
+    ids.reserve(chosen.size());
     for (const PlacementCandidate *candidate : chosen) {
         ids.push_back(candidate->session->facts().id);
     }
