Split the owner's and the codec's sources; one command line for daemons; end two findings of the tests

Change: takeover, work and calls of the owner in a source each; encoding apart from decoding; libraries daemon and settings/address serve both daemons; a release ends only at a later epoch.

--- a/cornelquay/src/nodesettings.cpp
+++ b/cornelquay/src/nodesettings.cpp
@@ -1,5 +1,6 @@
 #include "cornelquay/nodesettings.h"
 
+#include "settings/address.h"
 #include "settings/document.h"
 
 #include <algorithm>
@@ -18,16 +19,6 @@
 constexpr std::uint64_t PayloadMost = 64ULL << 20;
 constexpr std::int64_t SnapshotEveryMost = 1000000;
 
-Address readAddress(const Element &element)
-{
-    const std::string text = element.text();
-    const std::optional<Address> address = parseAddress(text);
-    if (element.isPresent() && !address) {
-        element.report("'" + text + "' is not an address", "write an IP number and a port, such as 127.0.0.1:7001");
-    }
-    return address.value_or(Address{});
-}
-
 TlsFiles readTls(const Element &element)
 {
     element.allowKeys({"certificate", "key"});
--- a/libs/jobnode/src/jobnode.cpp
+++ b/libs/jobnode/src/jobnode.cpp
@@ -393,8 +393,8 @@
 {
     store.claimOwnership(record, view.end(), [self = shared_from_this(), record, triesLeft, onDone](const tl::expected<std::uint64_t, StoreFailure> &offset) {
         logChange("owner", "released", {{"result", offset ? "stored" : std::string(toName(offset.error()))}});
-        const bool stillOwn = self->view.owner() && self->isOwn(*self->view.owner());
-        if (offset || triesLeft <= 1 || !stillOwn || self->stopped) {
+        const bool superseded = self->view.owner() && self->view.owner()->epoch > record.epoch;
+        if (offset || triesLeft <= 1 || superseded || self->stopped) {
             onDone();
             return;
         }
--- /dev/null
+++ b/libs/jobnode/src/reignwork.cpp
@@ -0,0 +1,301 @@
+#include "details/reignimpl.h"
+#include "records/packing.h"
+#include "telemetry/log.h"
+
+#include <asio/post.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace Cornelquay {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Records that come together are stored together; half of what one store call takes.
+constexpr auto StoreSpacing = 8ms;
+constexpr auto StoreRetry = 60ms;
+// Pause of the owner's work while nothing comes from outside.
+constexpr auto PumpInterval = 25ms;
+// Records of waves lie beside those of jobs, whose names hold no such sign.
+constexpr const char *WaveKeyPrefix = "wave/";
+
+std::string text(std::uint64_t number)
+{
+    return std::to_string(number);
+}
+
+std::string taskText(const Notice &notice)
+{
+    return text(notice.task.occurrence) + "/" + text(notice.task.step) + "/" + text(notice.task.index);
+}
+
+}
+
+void Reign::Impl::schedulePump()
+{
+    if (pumpPosted || ended) {
+        return;
+    }
+    pumpPosted = true;
+    asio::post(context.io, [self = shared_from_this()] {
+        self->pumpPosted = false;
+        self->pump();
+    });
+}
+
+void Reign::Impl::armTimer(std::chrono::milliseconds delay)
+{
+    timer.expires_after(delay);
+    timer.async_wait([self = shared_from_this()](const asio::error_code &error) {
+        if (!error) {
+            self->pump();
+        }
+    });
+}
+
+void Reign::Impl::pump()
+{
+    if (ended || !serving) {
+        return;
+    }
+    const BootTime now = BootClock::now();
+    if (!settling) {
+        scheduler.advance(now, toUnixMilliseconds(wallNow()));
+        instances->advance(now, *policy, now - freshAt < context.ownership.orderFreshness);
+    }
+    storeNext(now);
+    executeOrders(now);
+    logNotices();
+    expireAnswers();
+    if (now - countedAt > 1s) {
+        countedAt = now;
+        logPools(now);
+        const SchedulerCounts counts = scheduler.counts();
+        openJobs.set(static_cast<double>(counts.openJobs));
+        liveRuns.set(static_cast<double>(counts.runs));
+        reachableWorkers.set(static_cast<double>(counts.reachableWorkers));
+    }
+    if (scheduler.isDeposed()) {
+        depose("a worker has seen a later owner");
+        return;
+    }
+    if (settling && ((!storeInFlight && !scheduler.hasUnstored()) || now > settleUntil)) {
+        end();
+        return;
+    }
+    armTimer(scheduler.hasUnstored() && !storeInFlight ? std::max<std::chrono::milliseconds>(1ms, storeAt + StoreSpacing - now) : PumpInterval);
+}
+
+void Reign::Impl::storeNext(BootTime now)
+{
+    if (storeInFlight || !scheduler.hasUnstored() || now < storeAt + StoreSpacing) {
+        return;
+    }
+    RecordBatch batch = scheduler.takeBatch();
+    for (const WaveRecord &wave : instances->takeChanged()) {
+        batch.records.emplace_back(WaveKeyPrefix + text(wave.number), Packing::toBytes(wave));
+    }
+    if (batch.isEmpty()) {
+        return;
+    }
+    // What does not fit into one call goes in several; the batch counts as stored after the last.
+    RecordBatch chunk;
+    chunk.number = batch.number;
+    std::size_t bytes = 0;
+    for (auto &record : batch.records) {
+        if (bytes + record.second.size() > context.store.callBytesMax / 2 && !chunk.records.empty()) {
+            chunks.push_back(std::exchange(chunk, RecordBatch{batch.number, {}, {}}));
+            bytes = 0;
+        }
+        bytes += record.second.size();
+        chunk.records.push_back(std::move(record));
+    }
+    chunk.dropped = std::move(batch.dropped);
+    chunks.push_back(std::move(chunk));
+    storeAt = now;
+    storeInFlight = true;
+    storeWaitsSince = now;
+    ++sequence;
+    sendChunk();
+}
+
+void Reign::Impl::sendChunk()
+{
+    const BootTime sentAt = BootClock::now();
+    const RecordBatch &chunk = chunks.front();
+    context.store.storeJobs(epoch, sequence, chunk.records, chunk.dropped, [self = shared_from_this(), sentAt](const auto &result) {
+        if (self->ended) {
+            return;
+        }
+        if (result) {
+            self->freshAt = std::max(self->freshAt, sentAt);
+            const std::uint64_t batch = self->chunks.front().number;
+            self->chunks.pop_front();
+            if (self->chunks.empty()) {
+                self->stored(batch);
+            } else {
+                ++self->sequence;
+                self->sendChunk();
+            }
+            return;
+        }
+        if (result.error() == StoreFailure::Fenced || result.error() == StoreFailure::Conflict) {
+            self->depose("the store refused a batch: " + std::string(toName(result.error())));
+            return;
+        }
+        logChange("owner", "batch not stored", {{"batch", text(self->chunks.front().number)}, {"reason", std::string(toName(result.error()))}});
+        self->retry(StoreRetry, [self] {
+            self->sendChunk();
+        });
+    });
+}
+
+void Reign::Impl::stored(std::uint64_t batch)
+{
+    const BootTime now = BootClock::now();
+    storeInFlight = false;
+    batchesTotal.increment();
+    storeSeconds.observe(static_cast<double>((now - storeWaitsSince).count()) / 1000.0);
+    scheduler.noteStored(batch, now);
+    std::vector<WaitingAnswer> ready;
+    for (auto waiting = answers.begin(); waiting != answers.end();) {
+        if (waiting->batch <= batch) {
+            ready.push_back(std::move(*waiting));
+            waiting = answers.erase(waiting);
+        } else {
+            ++waiting;
+        }
+    }
+    for (WaitingAnswer &waiting : ready) {
+        waiting.respond(std::move(waiting.answer));
+    }
+    schedulePump();
+}
+
+void Reign::Impl::executeOrders(BootTime now)
+{
+    const std::chrono::milliseconds age = now - freshAt;
+    if (age >= context.ownership.leaseFreshness) {
+        return;
+    }
+    const bool mayAct = age < context.ownership.orderFreshness && !settling;
+    for (const Order &order : scheduler.takeOrders(now, mayAct ? OrderScope::All : OrderScope::Leases)) {
+        std::visit(
+            [this](const auto &given) {
+                execute(given);
+            },
+            order);
+    }
+}
+
+void Reign::Impl::execute(const StartOrder &order)
+{
+    const WorkerSession *worker = scheduler.findWorker(order.worker);
+    const JobRecord *job = scheduler.findJob(order.task.job);
+    if (worker == nullptr || job == nullptr) {
+        return;
+    }
+    startsTotal.increment();
+    context.workers.start(worker->facts(), order, job->spec.payload, [self = shared_from_this(), order](const OrderResult &result) {
+        if (!self->ended) {
+            self->scheduler.noteStart(order, result, BootClock::now(), toUnixMilliseconds(wallNow()));
+            self->schedulePump();
+        }
+    });
+}
+
+void Reign::Impl::execute(const StopOrder &order)
+{
+    if (const WorkerSession *worker = scheduler.findWorker(order.worker)) {
+        context.workers.stop(worker->facts(), order, [self = shared_from_this(), order](const OrderResult &result) {
+            if (!self->ended) {
+                self->scheduler.noteStop(order, result, BootClock::now());
+                self->schedulePump();
+            }
+        });
+    }
+}
+
+void Reign::Impl::execute(const PaceOrder &order)
+{
+    if (const WorkerSession *worker = scheduler.findWorker(order.worker)) {
+        context.workers.pace(worker->facts(), order, [self = shared_from_this(), order](const OrderResult &result) {
+            if (!self->ended) {
+                self->scheduler.notePace(order, result, BootClock::now());
+            }
+        });
+    }
+}
+
+void Reign::Impl::execute(const HoldOrder &order)
+{
+    if (const WorkerSession *worker = scheduler.findWorker(order.worker)) {
+        const BootTime sentAt = BootClock::now();
+        context.workers.hold(worker->facts(), order, [self = shared_from_this(), order, sentAt](const HoldResult &result) {
+            if (!self->ended) {
+                self->scheduler.noteHold(order, sentAt, result, BootClock::now(), toUnixMilliseconds(wallNow()));
+                self->schedulePump();
+            }
+        });
+    }
+}
+
+void Reign::Impl::execute(const AdviceOrder &order)
+{
+    context.workers.advise(order, [self = shared_from_this(), order](const std::vector<Permission> &permissions) {
+        if (!self->ended) {
+            self->scheduler.noteAdvice(order, permissions, BootClock::now());
+            self->schedulePump();
+        }
+    });
+}
+
+void Reign::Impl::logNotices()
+{
+    for (const Notice &notice : scheduler.takeNotices()) {
+        if (notice.event == "run-lost") {
+            lostTotal.increment();
+        }
+        if (notice.job.empty()) {
+            logChange("owner", notice.event, {{"worker", notice.worker}, {"detail", notice.detail}});
+        } else if (notice.worker.empty()) {
+            logChange("owner", notice.event, {{"job", notice.job}, {"detail", notice.detail}});
+        } else {
+            logChange("owner",
+                      notice.event,
+                      {{"job", notice.job}, {"task", taskText(notice)}, {"run", text(notice.run)}, {"worker", notice.worker}, {"detail", notice.detail}});
+        }
+    }
+}
+
+void Reign::Impl::logPools(BootTime now)
+{
+    for (const auto &[pool, counts] : scheduler.poolCounts(now)) {
+        logChange("owner",
+                  "pool",
+                  {{"pool", pool},
+                   {"workers", text(counts.workers)},
+                   {"usable", text(counts.usable)},
+                   {"capacity-cpu", std::to_string(counts.capacity.cpu)},
+                   {"used-cpu", std::to_string(counts.used.cpu)},
+                   {"used-memory", std::to_string(counts.used.memory)},
+                   {"backlog-cpu", std::to_string(counts.backlog.cpu)},
+                   {"waiting-jobs", text(counts.waitingJobs)},
+                   {"late-jobs", text(counts.lateJobs)}});
+    }
+    for (const auto &[account, used] : scheduler.usedByAccount()) {
+        if (const auto known = policy->accounts.find(account); known != policy->accounts.end()) {
+            logChange("owner",
+                      "account",
+                      {{"account", account},
+                       {"used-cpu", std::to_string(used.cpu)},
+                       {"cap-cpu", std::to_string(known->second.cap.cpu)},
+                       {"used-memory", std::to_string(used.memory)},
+                       {"cap-memory", std::to_string(known->second.cap.memory)}});
+        }
+    }
+}
+
+}
--- a/tools/cornelquayd/main.cpp
+++ b/tools/cornelquayd/main.cpp
@@ -1,79 +1,23 @@
 #include "cornelquay/node.h"
+#include "daemon/options.h"
 
-#include <getopt.h>
 #include <unistd.h>
 
 #include <atomic>
 #include <csignal>
 #include <cstdio>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 using namespace Cornelquay;
 
 namespace {
 
-enum ExitCode {
-    ExitSuccess = 0,
-    ExitFailure = 1,
-    ExitUsage = 2,
-    ExitFindings = 3,
-};
-
 constexpr const char *Usage = "usage: cornelquayd [--check] FILE\n"
                               "Runs one entry node with the settings in FILE until SIGTERM or SIGINT.\n"
                               "  --check    check FILE and exit: 0 without findings, 3 with findings\n"
                               "  --version  print the version and exit\n"
                               "  --help     print this text and exit\n";
 
-/** What the command line asks for. */
-struct Options {
-    bool checkOnly = false;
-    std::string file;
-};
-
-std::optional<std::string> readFile(const std::string &path)
-{
-    std::ifstream file(path, std::ios::binary);
-    if (!file) {
-        return std::nullopt;
-    }
-    std::stringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
-std::optional<ExitCode> parseOptions(int argc, char **argv, Options &options)
-{
-    const option longOptions[]
-        = {{"check", no_argument, nullptr, 'c'}, {"version", no_argument, nullptr, 'v'}, {"help", no_argument, nullptr, 'h'}, {nullptr, 0, nullptr, 0}};
-    int choice = 0;
-    // One thread at this point, so getopt's global state is safe.
-    while ((choice = getopt_long(argc, argv, "", longOptions, nullptr)) != -1) { // NOLINT(concurrency-mt-unsafe)
-        switch (choice) {
-        case 'c':
-            options.checkOnly = true;
-            break;
-        case 'v':
-            std::cout << "cornelquayd " << CORNELQUAY_VERSION << '\n';
-            return ExitSuccess;
-        case 'h':
-            std::cout << Usage;
-            return ExitSuccess;
-        default:
-            std::cerr << Usage;
-            return ExitUsage;
-        }
-    }
-    if (optind + 1 != argc) {
-        std::cerr << Usage;
-        return ExitUsage;
-    }
-    options.file = argv[optind];
-    return std::nullopt;
-}
-
 void waitForSignal(const sigset_t &signals)
 {
     int signal = 0;
@@ -116,8 +60,8 @@
 
 int main(int argc, char **argv)
 {
-    Options options;
-    if (const std::optional<ExitCode> code = parseOptions(argc, argv, options)) {
+    DaemonOptions options;
+    if (const std::optional<ExitCode> code = parseDaemonOptions(argc, argv, "cornelquayd", Usage, options)) {
         return *code;
     }
     const std::optional<std::string> text = readFile(options.file);
