Keep one copy of the owner's constants; end connections to workers that are gone

Cause: the split left constants in two sources; each move of an instance left a client with its sockets. Ruled out: leaving it to the worker, whose closed sockets still take descriptors until they are read. Change: shared constants in one header; connections of workers that the scheduler forgot are ended each second; permissions of closed jobs are forgotten; what nothing called is gone.

--- a/libs/jobnode/include/jobnode/ports.h
+++ b/libs/jobnode/include/jobnode/ports.h
@@ -110,8 +110,8 @@
     std::function<void(const WorkerFacts &worker, const PaceOrder &order, OrderHandler handler)> pace;
     std::function<void(const WorkerFacts &worker, const HoldOrder &order, HoldHandler handler)> hold;
     std::function<void(const AdviceOrder &order, AdviceHandler handler)> advise;
-    /** Ends the connections to a worker that is gone. */
-    std::function<void(const WorkerId &worker)> forget;
+    /** Ends the connections to workers of which @p isKnown does not hold. */
+    std::function<void(const std::function<bool(const WorkerId &worker)> &isKnown)> retain;
 };
 
 /** What the registry of workers says. */
--- a/libs/jobnode/src/details/reignimpl.h
+++ b/libs/jobnode/src/details/reignimpl.h
@@ -10,6 +10,11 @@
 
 namespace Cornelquay {
 
+// Pause before a store call is repeated.
+constexpr std::chrono::milliseconds StoreRetry{60};
+// Records of waves lie beside those of jobs, whose names hold no such sign.
+constexpr const char *WaveKeyPrefix = "wave/";
+
 /** A call whose answer waits for a batch to be stored. */
 struct WaitingAnswer {
     std::uint64_t batch = 0;
--- a/libs/jobnode/src/fleetkeeper.cpp
+++ b/libs/jobnode/src/fleetkeeper.cpp
@@ -237,7 +237,7 @@
         // Nothing may be placed on an instance between the decision and its order.
         m_scheduler.setCordoned(m_cordoned);
         for (const InstanceId &instance : decision.evacuate) {
-            m_scheduler.evacuate(views.at(instance).facts.worker, now);
+            m_scheduler.evacuate(views.at(instance).facts.worker);
         }
         for (const MaintainInstance &order : decision.maintain) {
             give(order, now);
--- a/libs/jobnode/src/reign.cpp
+++ b/libs/jobnode/src/reign.cpp
@@ -12,15 +12,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto StoreRetry = 60ms;
 constexpr auto SettleMost = 1000ms;
-// Records of waves lie beside those of jobs, whose names hold no such sign.
-constexpr const char *WaveKeyPrefix = "wave/";
-
-std::string text(std::uint64_t number)
-{
-    return std::to_string(number);
-}
 
 }
 
@@ -91,7 +83,7 @@
         ++restored;
         return;
     }
-    logChange("owner", "unreadable record", {{"key", key}, {"bytes", text(bytes.size())}});
+    logChange("owner", "unreadable record", {{"key", key}, {"bytes", std::to_string(bytes.size())}});
 }
 
 void Reign::Impl::serve()
@@ -101,7 +93,7 @@
         instances->addWave(wave, seenAt);
     }
     serving = true;
-    logChange("owner", "serving", {{"epoch", text(epoch)}, {"jobs", text(restored)}, {"configuration", text(policy->version)}});
+    logChange("owner", "serving", {{"epoch", std::to_string(epoch)}, {"jobs", std::to_string(restored)}, {"configuration", std::to_string(policy->version)}});
     context.registry.watch([self = shared_from_this()](const std::vector<WorkerFacts> &seen, const std::vector<WorkerId> &removed) {
         if (self->ended) {
             return;
@@ -123,7 +115,7 @@
     if (ended) {
         return;
     }
-    logChange("owner", "deposed", {{"epoch", text(epoch)}, {"reason", reason}});
+    logChange("owner", "deposed", {{"epoch", std::to_string(epoch)}, {"reason", reason}});
     const auto handler = std::exchange(onDeposed, nullptr);
     end();
     if (handler) {
--- a/libs/jobnode/src/reigncalls.cpp
+++ b/libs/jobnode/src/reigncalls.cpp
@@ -20,11 +20,6 @@
 // Several times what the store takes for a batch.
 constexpr std::int64_t AnswerTimeLeastMs = 400;
 
-std::string text(std::uint64_t number)
-{
-    return std::to_string(number);
-}
-
 }
 
 void Reign::Impl::expireAnswers()
@@ -40,7 +35,7 @@
         }
     }
     for (const WaitingAnswer &waiting : expired) {
-        logChange("owner", "answer not in time", {{"job", waiting.job}, {"batch", text(waiting.batch)}});
+        logChange("owner", "answer not in time", {{"job", waiting.job}, {"batch", std::to_string(waiting.batch)}});
         waiting.respond(JobAnswer::unknown("the store did not answer in time"));
     }
 }
--- a/libs/jobnode/src/reignwork.cpp
+++ b/libs/jobnode/src/reignwork.cpp
@@ -15,20 +15,12 @@
 
 // Records that come together are stored together; half of what one store call takes.
 constexpr auto StoreSpacing = 8ms;
-constexpr auto StoreRetry = 60ms;
 // Pause of the owner's work while nothing comes from outside.
 constexpr auto PumpInterval = 25ms;
-// Records of waves lie beside those of jobs, whose names hold no such sign.
-constexpr const char *WaveKeyPrefix = "wave/";
-
-std::string text(std::uint64_t number)
-{
-    return std::to_string(number);
-}
 
 std::string taskText(const Notice &notice)
 {
-    return text(notice.task.occurrence) + "/" + text(notice.task.step) + "/" + text(notice.task.index);
+    return std::to_string(notice.task.occurrence) + "/" + std::to_string(notice.task.step) + "/" + std::to_string(notice.task.index);
 }
 
 }
@@ -72,6 +64,9 @@
     if (now - countedAt > 1s) {
         countedAt = now;
         logPools(now);
+        context.workers.retain([this](const WorkerId &worker) {
+            return scheduler.findWorker(worker) != nullptr;
+        });
         const SchedulerCounts counts = scheduler.counts();
         openJobs.set(static_cast<double>(counts.openJobs));
         liveRuns.set(static_cast<double>(counts.runs));
@@ -95,7 +90,7 @@
     }
     RecordBatch batch = scheduler.takeBatch();
     for (const WaveRecord &wave : instances->takeChanged()) {
-        batch.records.emplace_back(WaveKeyPrefix + text(wave.number), Packing::toBytes(wave));
+        batch.records.emplace_back(WaveKeyPrefix + std::to_string(wave.number), Packing::toBytes(wave));
     }
     if (batch.isEmpty()) {
         return;
@@ -145,7 +140,7 @@
             self->depose("the store refused a batch: " + std::string(toName(result.error())));
             return;
         }
-        logChange("owner", "batch not stored", {{"batch", text(self->chunks.front().number)}, {"reason", std::string(toName(result.error()))}});
+        logChange("owner", "batch not stored", {{"batch", std::to_string(self->chunks.front().number)}, {"reason", std::string(toName(result.error()))}});
         self->retry(StoreRetry, [self] {
             self->sendChunk();
         });
@@ -263,9 +258,10 @@
         } else if (notice.worker.empty()) {
             logChange("owner", notice.event, {{"job", notice.job}, {"detail", notice.detail}});
         } else {
-            logChange("owner",
-                      notice.event,
-                      {{"job", notice.job}, {"task", taskText(notice)}, {"run", text(notice.run)}, {"worker", notice.worker}, {"detail", notice.detail}});
+            logChange(
+                "owner",
+                notice.event,
+                {{"job", notice.job}, {"task", taskText(notice)}, {"run", std::to_string(notice.run)}, {"worker", notice.worker}, {"detail", notice.detail}});
         }
     }
 }
@@ -276,14 +272,14 @@
         logChange("owner",
                   "pool",
                   {{"pool", pool},
-                   {"workers", text(counts.workers)},
-                   {"usable", text(counts.usable)},
+                   {"workers", std::to_string(counts.workers)},
+                   {"usable", std::to_string(counts.usable)},
                    {"capacity-cpu", std::to_string(counts.capacity.cpu)},
                    {"used-cpu", std::to_string(counts.used.cpu)},
                    {"used-memory", std::to_string(counts.used.memory)},
                    {"backlog-cpu", std::to_string(counts.backlog.cpu)},
-                   {"waiting-jobs", text(counts.waitingJobs)},
-                   {"late-jobs", text(counts.lateJobs)}});
+                   {"waiting-jobs", std::to_string(counts.waitingJobs)},
+                   {"late-jobs", std::to_string(counts.lateJobs)}});
     }
     for (const auto &[account, used] : scheduler.usedByAccount()) {
         if (const auto known = policy->accounts.find(account); known != policy->accounts.end()) {
--- a/libs/jobnode/tests/jobnodetest.cpp
+++ b/libs/jobnode/tests/jobnodetest.cpp
@@ -202,6 +202,7 @@
                 },
                 5ms);
         };
+        port.retain = [](const std::function<bool(const WorkerId &)> &) {};
         port.advise = [](const AdviceOrder &, const WorkerPort::AdviceHandler &handler) {
             handler({});
         };
--- a/libs/scheduling/include/scheduling/placement.h
+++ b/libs/scheduling/include/scheduling/placement.h
@@ -47,7 +47,4 @@
  */
 PlacementCandidate *choosePlacement(const PlacementRequest &request, std::vector<PlacementCandidate *> &candidates);
 
-/** Whether @p request could ever run on @p candidate, were it empty. */
-bool couldRunOn(const PlacementRequest &request, const WorkerSession &session);
-
 }
--- a/libs/scheduling/include/scheduling/scheduler.h
+++ b/libs/scheduling/include/scheduling/scheduler.h
@@ -7,7 +7,6 @@
 
 #include <chrono>
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -41,12 +40,9 @@
         Added,
         /** Known before; acknowledged once the batch is stored. */
         Known,
-        /** Nothing was kept; it never runs. */
-        Refused,
     };
-    Kind kind = Kind::Refused;
+    Kind kind = Kind::Added;
     std::uint64_t batch = 0;
-    std::string reason;
 };
 
 /** What came of a cancel. */
@@ -157,7 +153,7 @@
      */
     void workerWithdrawn(const WorkerId &worker, BootTime now);
     /** Asks for the end of runs on a worker that is to be taken away, as far as their budgets allow. */
-    void evacuate(const WorkerId &worker, BootTime now);
+    void evacuate(const WorkerId &worker);
 
     // Commands: client accounts.
     SubmitOutcome submit(JobRecord record, BootTime now, std::int64_t wallMs);
@@ -190,8 +186,6 @@
     std::size_t pendingOf(const std::string &queue) const;
     SchedulerCounts counts() const;
     const WorkerSession *findWorker(const WorkerId &worker) const;
-    /** Calls @p visit for each worker. */
-    void visitWorkers(const std::function<void(const WorkerSession &session)> &visit) const;
     std::map<std::string, PoolCounts> poolCounts(BootTime now) const;
     /** What each account has running. */
     const std::map<std::string, Resources> &usedByAccount() const;
--- a/libs/scheduling/src/placement.cpp
+++ b/libs/scheduling/src/placement.cpp
@@ -58,11 +58,6 @@
 
 }
 
-bool couldRunOn(const PlacementRequest &request, const WorkerSession &session)
-{
-    return request.demand.fitsInto(session.facts().capacity) && hasLabel(session.facts(), request.requiredLabel);
-}
-
 PlacementCandidate *choosePlacement(const PlacementRequest &request, std::vector<PlacementCandidate *> &candidates)
 {
     PlacementCandidate *best = nullptr;
--- a/libs/scheduling/src/scheduler.cpp
+++ b/libs/scheduling/src/scheduler.cpp
@@ -210,7 +210,7 @@
     }
 }
 
-void Scheduler::evacuate(const WorkerId &worker, BootTime now)
+void Scheduler::evacuate(const WorkerId &worker)
 {
     const auto found = m_impl->workers.find(worker);
     if (found == m_impl->workers.end()) {
@@ -221,14 +221,13 @@
             m_impl->wantStop(found->second, task, "evacuation");
         }
     }
-    (void)now;
 }
 
 SubmitOutcome Scheduler::submit(JobRecord record, BootTime now, std::int64_t wallMs)
 {
     Impl &impl = *m_impl;
     if (const JobEntry *known = impl.findEntry(record.id)) {
-        return {SubmitOutcome::Kind::Known, known->stored ? impl.storedBatch : std::max(known->batch, impl.gate()), {}};
+        return {SubmitOutcome::Kind::Known, known->stored ? impl.storedBatch : std::max(known->batch, impl.gate())};
     }
     const JobId id = record.id;
     record.submittedMs = wallMs;
@@ -251,7 +250,7 @@
     impl.noteArrival(entry, now);
     impl.markDirty(entry);
     impl.notice("job-received", {id, {}}, 0, {}, entry.job.record().queue);
-    return {SubmitOutcome::Kind::Added, impl.gate(), {}};
+    return {SubmitOutcome::Kind::Added, impl.gate()};
 }
 
 CancelOutcome Scheduler::cancel(const JobId &job, std::int64_t wallMs)
@@ -403,13 +402,6 @@
     return found == m_impl->workers.end() ? nullptr : &found->second;
 }
 
-void Scheduler::visitWorkers(const std::function<void(const WorkerSession &session)> &visit) const
-{
-    for (const auto &[id, session] : m_impl->workers) {
-        visit(session);
-    }
-}
-
 Resources Scheduler::offeredTo(const std::string &pool, BootTime now) const
 {
     const auto found = m_impl->arrivals.find(pool);
--- a/libs/scheduling/src/schedulertime.cpp
+++ b/libs/scheduling/src/schedulertime.cpp
@@ -129,6 +129,9 @@
         const bool over = record.closedMs != 0 && wallMs - record.closedMs > times.statusKept.count() && job->second.stored && !job->second.dirty;
         if (over && !job->second.job.hasPlacedTasks()) {
             droppedJobs.push_back(job->first);
+            std::erase_if(advice, [&](const auto &entry) {
+                return entry.first.first == job->first;
+            });
             job = jobs.erase(job);
         } else {
             ++job;
