--- a/libs/httpio/src/httpserver.cpp
+++ b/libs/httpio/src/httpserver.cpp
@@ -3,6 +3,7 @@
 #include "details/messageparser.h"
 #include "details/serialization.h"
 #include "timing/instant.h"
+#include "transport/listening.h"
 
 #include <asio.hpp>
 
@@ -227,19 +228,7 @@
 
 void HttpServer::Impl::bind(const Address &address)
 {
-    asio::error_code error;
-    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address.host, error), address.port);
-    if (error) {
-        return;
-    }
-    acceptor.open(endpoint.protocol(), error);
-    acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
-    acceptor.bind(endpoint, error);
-    if (error) {
-        return;
-    }
-    acceptor.listen(ListenBacklog, error);
-    bound = !error;
+    bound = !listenOn(acceptor, address, ListenBacklog);
 }
 
 void HttpServer::Impl::accept()
--- a/libs/jobnode/include/jobnode/jobcall.h
+++ b/libs/jobnode/include/jobnode/jobcall.h
@@ -47,11 +47,8 @@
     State,
     Pending,
     UnknownJob,
-    UnknownQueue,
     /** Not carried out; the caller may come back. */
     NotRun,
-    /** Not carried out, and never will be in this form. */
-    Invalid,
     /** May have been carried out. */
     Unknown,
 };
--- a/libs/peering/src/peermesh.cpp
+++ b/libs/peering/src/peermesh.cpp
@@ -1,6 +1,7 @@
 #include "peering/peermesh.h"
 
 #include "details/dialler.h"
+#include "transport/listening.h"
 
 #include <atomic>
 #include <set>
@@ -81,19 +82,8 @@
 
 void PeerMesh::Impl::bind(const Address &address)
 {
+    bound = !listenOn(acceptor, address, asio::socket_base::max_listen_connections);
     asio::error_code error;
-    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address.host, error), address.port);
-    if (error) {
-        return;
-    }
-    acceptor.open(endpoint.protocol(), error);
-    acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
-    acceptor.bind(endpoint, error);
-    if (error) {
-        return;
-    }
-    acceptor.listen(asio::socket_base::max_listen_connections, error);
-    bound = !error;
     port = acceptor.local_endpoint(error).port();
 }
 
