Tell a surge by the rate of the latest arrivals

Cause: what came in was spread over the length of its jobs, so a surge showed in full only after 1.5 to 2.6 s. Ruled out: waiting for a backlog (later still); the period of surges (tried before, worse). Change: OfferedLoad takes the larger of what came in and the rate of the latest five arrivals times their mean work. Members that nothing read are gone, and a job is looked up only for a run that stands still.

--- a/libs/jobnode/src/details/reignimpl.h
+++ b/libs/jobnode/src/details/reignimpl.h
@@ -34,7 +34,7 @@
         : context(givenContext)
         , epoch(givenEpoch)
         , onDeposed(std::move(givenOnDeposed))
-        , scheduler(context.times, givenEpoch, BootClock::now())
+        , scheduler(context.times, givenEpoch)
         , timer(context.io)
         , retryTimer(context.io)
         , batchesTotal(context.metrics.counter("store_batches_total", "Batches of job records that were stored"))
--- a/libs/scheduling/benchmark/main.cpp
+++ b/libs/scheduling/benchmark/main.cpp
@@ -69,7 +69,7 @@
 void measure(int workers)
 {
     const double before = residentMegabytes();
-    Scheduler scheduler(SchedulerTimes{}, 1, Start);
+    Scheduler scheduler(SchedulerTimes{}, 1);
     auto policy = std::make_shared<FleetPolicy>();
     const auto poolOf = [](int number) {
         return "pool-" + std::to_string(number / WorkersPerPool);
@@ -129,7 +129,7 @@
     scheduler.advance(Start + 300ms, 1);
     const double quiet = millisecondsSince(clock);
     clock = std::chrono::steady_clock::now();
-    Scheduler successor(SchedulerTimes{}, 2, Start);
+    Scheduler successor(SchedulerTimes{}, 2);
     for (const auto &[id, record] : batch.records) {
         successor.restore(*decodeJob(record), Start, 1);
     }
--- a/libs/scheduling/include/scheduling/scheduler.h
+++ b/libs/scheduling/include/scheduling/scheduler.h
@@ -114,7 +114,7 @@
  * that a successor that starts from the records knows where each run may be. Not thread-safe.
  *
  * @code
- * Scheduler scheduler(times, epoch, now);
+ * Scheduler scheduler(times, epoch);
  * scheduler.setPolicy(policy);
  * scheduler.submit(record, now);
  * scheduler.advance(now, wallMs);
@@ -128,7 +128,7 @@
 {
 public:
     /** @p epoch is higher than that of any earlier owner. */
-    Scheduler(SchedulerTimes times, std::uint64_t epoch, BootTime now);
+    Scheduler(SchedulerTimes times, std::uint64_t epoch);
     ~Scheduler();
     Scheduler(const Scheduler &) = delete;
     Scheduler &operator=(const Scheduler &) = delete;
--- a/libs/scheduling/src/details/schedulerimpl.h
+++ b/libs/scheduling/src/details/schedulerimpl.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "scheduling/joborder.h"
+#include "scheduling/offeredload.h"
 #include "scheduling/placement.h"
 #include "scheduling/scheduler.h"
 
@@ -32,7 +33,6 @@
     JobOutlook outlook;
     /** Workers on which a task failed. */
     std::map<TaskRef, std::set<WorkerId>> failedOn;
-    BootTime waitsSince{};
 };
 
 /** What the advice service said of one step. */
@@ -54,40 +54,6 @@
     bool started = false;
 };
 
-/** Work that came in recently, as what it keeps busy: each job's work, spread over the job's length. */
-class ArrivalWindow
-{
-public:
-    /** @p work is in resources times milliseconds. */
-    void add(const Resources &work, std::chrono::milliseconds length, BootTime now)
-    {
-        const std::int64_t spread = std::max(LengthLeast, length).count();
-        m_entries.push_back({now + std::max(LengthLeast, length), {work.cpu / spread, work.memory / spread, work.gpu / spread}});
-        std::erase_if(m_entries, [now](const Entry &entry) {
-            return entry.until < now;
-        });
-    }
-
-    Resources load(BootTime now) const
-    {
-        Resources sum;
-        for (const Entry &entry : m_entries) {
-            sum += entry.until >= now ? entry.load : Resources{};
-        }
-        return sum;
-    }
-
-private:
-    struct Entry {
-        BootTime until{};
-        Resources load;
-    };
-
-    // Shorter jobs are spread over this time, in which a dozen jobs of a surge come.
-    static constexpr std::chrono::milliseconds LengthLeast{700};
-    std::vector<Entry> m_entries;
-};
-
 /** A pool's workers during one pass over waiting jobs. */
 struct PoolRoom {
     std::vector<PlacementCandidate> all;
@@ -97,12 +63,11 @@
 };
 
 struct Scheduler::Impl {
-    Impl(SchedulerTimes givenTimes, std::uint64_t epoch, BootTime now);
+    Impl(SchedulerTimes givenTimes, std::uint64_t epoch);
 
     const SchedulerTimes times;
     /** First token of this owner; above all tokens of earlier ones. */
     const std::uint64_t firstToken;
-    const BootTime reignsSince;
     PredecessorLeases predecessor;
     bool deposed = false;
     std::shared_ptr<const FleetPolicy> policy = std::make_shared<FleetPolicy>();
@@ -113,7 +78,7 @@
     std::map<std::string, Resources> accountUsed;
     std::map<std::string, SubmissionBucket> buckets;
     std::map<std::string, Resources> backlog;
-    std::map<std::string, ArrivalWindow> arrivals;
+    std::map<std::string, OfferedLoad> offered;
     std::map<std::pair<JobId, std::pair<std::uint32_t, std::uint32_t>>, StepAdvice> advice;
     std::size_t adviceInFlight = 0;
 
@@ -150,7 +115,7 @@
 
     // Results.
     void applyListing(WorkerSession &session, const HoldOrder &order, BootTime sentAt, const Listing &listing, BootTime now, std::int64_t wallMs);
-    void applyEnd(WorkerSession &session, const ListedEnd &end, BootTime now, std::int64_t wallMs);
+    void applyEnd(WorkerSession &session, const ListedEnd &end, std::int64_t wallMs);
     void applyRunning(WorkerSession &session, const ListedRun &run, BootTime now);
     void applyAbsent(WorkerSession &session, const HoldOrder &order, BootTime sentAt, const Listing &listing, std::int64_t wallMs);
 
--- a/libs/scheduling/src/scheduler.cpp
+++ b/libs/scheduling/src/scheduler.cpp
@@ -15,10 +15,9 @@
 
 }
 
-Scheduler::Impl::Impl(SchedulerTimes givenTimes, std::uint64_t epoch, BootTime now)
+Scheduler::Impl::Impl(SchedulerTimes givenTimes, std::uint64_t epoch)
     : times(givenTimes)
     , firstToken(epoch * TokensPerEpoch + 1)
-    , reignsSince(now)
 {
 }
 
@@ -87,11 +86,11 @@
     for (const StepSpec &step : entry.job.record().spec.steps) {
         work += step.demand * step.estimateMs * step.count;
     }
-    arrivals[entry.job.record().terms.pool].add(work, std::chrono::milliseconds(entry.outlook.chainLeftMs), now);
+    offered[entry.job.record().terms.pool].add(work, std::chrono::milliseconds(entry.outlook.chainLeftMs), now);
 }
 
-Scheduler::Scheduler(SchedulerTimes times, std::uint64_t epoch, BootTime now)
-    : m_impl(std::make_unique<Impl>(times, epoch, now))
+Scheduler::Scheduler(SchedulerTimes times, std::uint64_t epoch)
+    : m_impl(std::make_unique<Impl>(times, epoch))
 {
 }
 
@@ -233,7 +232,6 @@
     record.submittedMs = wallMs;
     JobEntry &entry = impl.jobs.try_emplace(id, std::move(record)).first->second;
     entry.outlook.receivedAt = now;
-    entry.waitsSince = now;
     const auto account = impl.policy->accounts.find(entry.job.record().account);
     if (account != impl.policy->accounts.end()) {
         SubmissionBucket &bucket = impl.buckets[account->first];
@@ -404,8 +402,8 @@
 
 Resources Scheduler::offeredTo(const std::string &pool, BootTime now) const
 {
-    const auto found = m_impl->arrivals.find(pool);
-    return found == m_impl->arrivals.end() ? Resources{} : found->second.load(now);
+    const auto found = m_impl->offered.find(pool);
+    return found == m_impl->offered.end() ? Resources{} : found->second.at(now);
 }
 
 std::map<std::string, PoolCounts> Scheduler::poolCounts(BootTime now) const
--- a/libs/scheduling/src/schedulerresults.cpp
+++ b/libs/scheduling/src/schedulerresults.cpp
@@ -144,7 +144,7 @@
     }
     session.noteListing(listing, order.fencingToken, now);
     for (const ListedEnd &end : listing.ended) {
-        applyEnd(session, end, now, wallMs);
+        applyEnd(session, end, wallMs);
     }
     for (const ListedRun &run : listing.running) {
         applyRunning(session, run, now);
@@ -158,7 +158,7 @@
     }
 }
 
-void Scheduler::Impl::applyEnd(WorkerSession &session, const ListedEnd &end, BootTime now, std::int64_t wallMs)
+void Scheduler::Impl::applyEnd(WorkerSession &session, const ListedEnd &end, std::int64_t wallMs)
 {
     const auto live = session.runs().find(end.task);
     if (live != session.runs().end() && live->second.run == end.run) {
@@ -179,7 +179,6 @@
         session.noteFailure();
         entry->failedOn[end.task.ref].insert(session.facts().id);
     }
-    entry->waitsSince = now;
     entry->job.markBegun();
     refreshOutlook(*entry);
     markDirty(*entry);
--- a/libs/scheduling/src/schedulertime.cpp
+++ b/libs/scheduling/src/schedulertime.cpp
@@ -109,8 +109,9 @@
                 run.stop = StopProgress::Due;
             }
             const bool stands = !run.lasting && run.percent >= 0 && session.listedAt() - run.percentAt >= StandsStillAfter;
-            const JobEntry *entry = findEntry(task.job);
-            if (stands && run.start == StartProgress::Accepted && run.stop == StopProgress::NotWanted && entry != nullptr && !entry->job.step(task.ref).gang) {
+            const bool mayStop = stands && run.start == StartProgress::Accepted && run.stop == StopProgress::NotWanted;
+            const JobEntry *entry = mayStop ? findEntry(task.job) : nullptr;
+            if (entry != nullptr && !entry->job.step(task.ref).gang) {
                 wantStop(session, task, "stands still at " + std::to_string(run.percent) + " %");
                 session.noteFailure();
                 session.avoidUntil(now + StandsStillPause);
--- a/libs/scheduling/tests/fleetsimulation.cpp
+++ b/libs/scheduling/tests/fleetsimulation.cpp
@@ -91,7 +91,7 @@
         leases.rest = LeaseBound;
         leases.silent = m_owner->silentWorkers(m_now);
     }
-    m_owner = std::make_unique<Scheduler>(SchedulerTimes{}, m_epoch, m_now);
+    m_owner = std::make_unique<Scheduler>(SchedulerTimes{}, m_epoch);
     m_owner->setPredecessor(std::move(leases));
     for (const auto &[id, bytes] : m_store) {
         m_owner->restore(*decodeJob(bytes), m_now, wallMs());
--- /dev/null
+++ b/libs/scheduling/tests/offeredloadtest.cpp
@@ -0,0 +1,52 @@
+#include "scheduling/offeredload.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Cornelquay;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr BootTime Start{std::chrono::milliseconds(1000000)};
+// Six tasks of one core for one second.
+constexpr Resources Work{6000 * 1000, 0, 0};
+constexpr auto Length = 1000ms;
+
+}
+
+// Load pattern: a calm queue asks for several times its mean from one moment to the next.
+BOOST_AUTO_TEST_CASE(aSurgeShowsAfterAFewArrivals)
+{
+    OfferedLoad offered;
+    offered.add(Work, Length, Start);
+    offered.add(Work, Length, Start + 8s);
+    BootTime now = Start + 20s;
+    for (int arrival = 0; arrival < 5; ++arrival, now += 50ms) {
+        offered.add(Work, Length, now);
+    }
+    // Twenty jobs a second keep 120 cores busy; what has come in so far would show 30.
+    BOOST_TEST(offered.at(now).cpu >= 70000);
+    BOOST_TEST(offered.at(now).cpu <= 130000);
+}
+
+// Load pattern: a surge ends as suddenly as it began.
+BOOST_AUTO_TEST_CASE(theEndOfASurgeShowsOnceArrivalsStayAway)
+{
+    OfferedLoad offered;
+    BootTime now = Start;
+    for (int arrival = 0; arrival < 100; ++arrival, now += 50ms) {
+        offered.add(Work, Length, now);
+    }
+    BOOST_TEST(offered.at(now).cpu >= 80000);
+    BOOST_TEST(offered.at(now + 1s).cpu <= 15000);
+    BOOST_TEST(offered.at(now + 4s).cpu == 0);
+}
+
+// Load pattern: a few jobs far apart, of which each keeps much busy.
+BOOST_AUTO_TEST_CASE(aSingleLargeJobCountsByItself)
+{
+    OfferedLoad offered;
+    offered.add({2000000, 1000, 0}, 2000ms, Start);
+    BOOST_TEST(offered.at(Start + 1s).cpu == 1000);
+    BOOST_TEST(offered.at(Start + 3s).cpu == 0);
+}
--- a/libs/scheduling/tests/schedulertest.cpp
+++ b/libs/scheduling/tests/schedulertest.cpp
@@ -35,7 +35,7 @@
 BOOST_AUTO_TEST_CASE(fillingRunsArePacedByWhatServes)
 {
     constexpr BootTime Start{std::chrono::milliseconds(1000000)};
-    Scheduler scheduler(SchedulerTimes{}, 1, Start);
+    Scheduler scheduler(SchedulerTimes{}, 1);
     auto policy = std::make_shared<FleetPolicy>();
     policy->queues["queue"].terms = {"pool", 0, 3, 2.0, 1000};
     scheduler.setPolicy(policy);
@@ -97,7 +97,7 @@
 BOOST_AUTO_TEST_CASE(aTaskThatStandsStillIsStoppedAndRunElsewhere)
 {
     constexpr BootTime Start{std::chrono::milliseconds(1000000)};
-    Scheduler scheduler(SchedulerTimes{}, 1, Start);
+    Scheduler scheduler(SchedulerTimes{}, 1);
     auto policy = std::make_shared<FleetPolicy>();
     policy->queues["queue"].terms = {"pool", 0, 3, 2.0, 1000};
     scheduler.setPolicy(policy);
