Count instances on their way for their new pool

Cause: the list shows a move up to 0.7 s late, and until then each round of decisions, ten a second, gave the same pool another instance: a pool that lacked one got seven, which went back idle 4 s later, again and again. Ruled out: registered workers counted twice (the log shows each instance moved once). Change: an instance that was ordered to another pool counts there until the list shows it. Test: instancesOnTheirWayAreNotOrderedAgain, seven moves before, one after.

--- a/libs/jobnode/include/jobnode/fleetkeeper.h
+++ b/libs/jobnode/include/jobnode/fleetkeeper.h
@@ -78,6 +78,8 @@
     std::map<InstanceId, InstanceFacts> m_reading;
     /** Orders under way or so recent that the list may not show them. */
     std::map<InstanceId, BootTime> m_orderedAt;
+    /** Pools of moves that the list may not show. */
+    std::map<InstanceId, std::string> m_movingTo;
     /** When each instance was last ordered about, taken or not. */
     std::map<InstanceId, BootTime> m_givenAt;
     std::set<InstanceId> m_inFlight;
--- a/libs/jobnode/src/fleetkeeper.cpp
+++ b/libs/jobnode/src/fleetkeeper.cpp
@@ -200,6 +200,10 @@
         view.facts = facts;
         const auto ordered = m_orderedAt.find(id);
         view.ordered = !mayOrder(facts, now) || m_inFlight.count(id) != 0 || (ordered != m_orderedAt.end() && now - ordered->second < OrderShows);
+        const auto movingTo = m_movingTo.find(id);
+        if (view.ordered && movingTo != m_movingTo.end()) {
+            view.movingTo = movingTo->second;
+        }
         if (const WorkerSession *worker = facts.worker.empty() ? nullptr : m_scheduler.findWorker(facts.worker)) {
             view.usable = worker->isRegistered() && worker->isReachable() && worker->facts().state == WorkerState::Ready;
             view.runs = worker->runs().size();
@@ -292,6 +296,11 @@
     m_inFlight.insert(instance);
     m_orderedAt[instance] = now;
     m_givenAt[instance] = now;
+    if (const MoveInstance *move = std::get_if<MoveInstance>(&order)) {
+        m_movingTo[instance] = move->pool;
+    } else {
+        m_movingTo.erase(instance);
+    }
     m_port.order(order, m_epoch, [self = shared_from_this(), order, worker](const InstanceResult &result) {
         if (!self->m_ended) {
             self->noteResult(order, worker, result);
@@ -312,6 +321,9 @@
     logChange("instances",
               move != nullptr ? "move" : "maintain",
               {{"instance", instance}, {"worker", worker}, {"target", targetOf(order)}, {"result", resultText(result)}});
+    if (refusal != nullptr) {
+        m_movingTo.erase(instance);
+    }
     if (!taken) {
         // Unanswered orders are repeated once the list was read again; they have no effect twice.
         if (move != nullptr && refusal != nullptr && *refusal == InstanceRefusal::Invalid) {
--- a/libs/scheduling/include/scheduling/instances.h
+++ b/libs/scheduling/include/scheduling/instances.h
@@ -50,6 +50,14 @@
     std::chrono::milliseconds emptyIn{0};
     /** An order for the instance is under way or just took effect. */
     bool ordered = false;
+    /** The pool of a move that is under way or just took effect and is not listed yet; empty for none. */
+    std::string movingTo;
+
+    /** The pool that the instance works for, or will. */
+    const std::string &pool() const
+    {
+        return movingTo.empty() ? facts.pool : movingTo;
+    }
 };
 
 /** The instance goes to another pool; everything on it ends. */
--- a/libs/scheduling/src/poolplan.cpp
+++ b/libs/scheduling/src/poolplan.cpp
@@ -93,7 +93,7 @@
     std::map<std::string, Balance> balances;
     std::size_t total = 0;
     for (const auto &[id, view] : instances) {
-        Balance &balance = balances[view.facts.pool];
+        Balance &balance = balances[view.pool()];
         if (view.facts.state == InstancePhase::Down) {
             continue;
         }
--- a/libs/scheduling/tests/plantest.cpp
+++ b/libs/scheduling/tests/plantest.cpp
@@ -88,6 +88,26 @@
     }
 }
 
+// Load pattern: a pool needs a little more than it has, and the list shows moves late.
+BOOST_AUTO_TEST_CASE(instancesOnTheirWayAreNotOrderedAgain)
+{
+    PoolPlan plan{PoolTimes{}};
+    std::map<InstanceId, InstanceView> instances = makeInstances({{"small", 2}, {"rest", 8}});
+    std::map<std::string, PoolDemand> pools;
+    pools["small"].used = {32000, 0, 0};
+    pools["rest"].standby = true;
+    std::size_t moved = 0;
+    for (int round = 0; round < 7; ++round) {
+        for (const MoveInstance &move : plan.decide(instances, pools, Start + round * 100ms).moves) {
+            InstanceView &view = instances.at(move.instance);
+            view.ordered = true;
+            view.movingTo = move.pool;
+            ++moved;
+        }
+    }
+    BOOST_TEST(moved == 1U);
+}
+
 // Load pattern: a queue's surge follows another's at once.
 BOOST_AUTO_TEST_CASE(idleInstancesOfACalmPoolHelp)
 {
