Learn how long the tasks of each queue run

Cause: order, lateness and the offered load went by the submitters' estimates. Ruled out: learning by image (no step of these sites names one); one factor for all queues. Change: RunTimes regresses run times on estimates for each queue; waiting jobs are judged anew twice a second.

--- a/libs/jobs/include/jobs/jobspec.h
+++ b/libs/jobs/include/jobs/jobspec.h
@@ -124,7 +124,10 @@
 /** Why @p spec cannot be accepted; empty if it can. Pure. */
 std::string findFault(const JobSpec &spec);
 
-/** The longest chain of the steps' estimates, in milliseconds, from each step to the end of the job. */
-std::vector<std::int64_t> chainsFrom(const JobSpec &spec);
+/**
+ * The longest chain of work from each step to the end of the job, in milliseconds.
+ * @p runMs holds for each step how long a task of it runs.
+ */
+std::vector<std::int64_t> chainsFrom(const JobSpec &spec, const std::vector<std::int64_t> &runMs);
 
 }
--- a/libs/jobs/src/jobspec.cpp
+++ b/libs/jobs/src/jobspec.cpp
@@ -83,11 +83,11 @@
     return {};
 }
 
-std::vector<std::int64_t> chainsFrom(const JobSpec &spec)
+std::vector<std::int64_t> chainsFrom(const JobSpec &spec, const std::vector<std::int64_t> &runMs)
 {
     std::vector<std::int64_t> chains(spec.steps.size(), 0);
     for (std::size_t number = spec.steps.size(); number-- > 0;) {
-        chains[number] += spec.steps[number].estimateMs;
+        chains[number] += runMs[number];
         for (const std::uint32_t earlier : spec.steps[number].after) {
             chains[earlier] = std::max(chains[earlier], chains[number]);
         }
--- a/libs/jobs/tests/jobstest.cpp
+++ b/libs/jobs/tests/jobstest.cpp
@@ -178,8 +178,7 @@
 {
     JobSpec spec;
     spec.steps = {makeStep(1), makeStep(1, {0}), makeStep(1), makeStep(1, {1, 2})};
-    spec.steps[2].estimateMs = 500;
-    const std::vector<std::int64_t> chains = chainsFrom(spec);
+    const std::vector<std::int64_t> chains = chainsFrom(spec, {100, 100, 500, 100});
     BOOST_TEST(chains[0] == 300);
     BOOST_TEST(chains[2] == 600);
     BOOST_TEST(chains[3] == 100);
--- a/libs/scheduling/include/scheduling/workersession.h
+++ b/libs/scheduling/include/scheduling/workersession.h
@@ -54,6 +54,8 @@
     StopProgress stop = StopProgress::NotWanted;
     bool lasting = false;
     bool fills = false;
+    /** Its start was answered, and nothing was done before it. */
+    bool watched = false;
 };
 
 /** How a worker's lease and clock are judged. */
--- a/libs/scheduling/src/details/schedulerimpl.h
+++ b/libs/scheduling/src/details/schedulerimpl.h
@@ -3,6 +3,7 @@
 #include "scheduling/joborder.h"
 #include "scheduling/offeredload.h"
 #include "scheduling/placement.h"
+#include "scheduling/runtimes.h"
 #include "scheduling/scheduler.h"
 
 #include <map>
@@ -79,6 +80,7 @@
     std::map<std::string, SubmissionBucket> buckets;
     std::map<std::string, Resources> backlog;
     std::map<std::string, OfferedLoad> offered;
+    RunTimes runTimes;
     std::map<std::pair<JobId, std::pair<std::uint32_t, std::uint32_t>>, StepAdvice> advice;
     std::size_t adviceInFlight = 0;
 
@@ -95,11 +97,14 @@
     bool placingWanted = true;
     BootTime placedAt{};
     BootTime housekeptAt{};
+    BootTime estimatedAt{};
 
     // Records.
     void markDirty(JobEntry &entry);
     std::uint64_t gate() const;
     JobEntry *findEntry(const JobId &job);
+    /** How long a task of each step will run, in milliseconds. */
+    std::vector<std::int64_t> expectedRunMs(const JobRecord &record) const;
     void refreshOutlook(JobEntry &entry);
     void closeRuns(JobEntry &entry);
     void noteArrival(const JobEntry &entry, BootTime now);
@@ -115,7 +120,8 @@
 
     // Results.
     void applyListing(WorkerSession &session, const HoldOrder &order, BootTime sentAt, const Listing &listing, BootTime now, std::int64_t wallMs);
-    void applyEnd(WorkerSession &session, const ListedEnd &end, std::int64_t wallMs);
+    void applyEnd(WorkerSession &session, const ListedEnd &end, BootTime now, std::int64_t wallMs);
+    void learnRunTime(const JobEntry &entry, const ListedEnd &end, const LiveRun &run, BootTime now);
     void applyRunning(WorkerSession &session, const ListedRun &run, BootTime now);
     void applyAbsent(WorkerSession &session, const HoldOrder &order, BootTime sentAt, const Listing &listing, std::int64_t wallMs);
 
@@ -123,6 +129,8 @@
     void openDueOccurrences(std::int64_t wallMs);
     void endLeases(BootTime now, std::int64_t wallMs);
     void watchRuns(BootTime now);
+    /** Takes in what was learned of run times since for jobs that wait. */
+    void refreshWaiting(BootTime now);
     void paceFilling(WorkerSession &session, BootTime now);
     void forgetClosed(std::int64_t wallMs);
 
--- a/libs/scheduling/src/scheduler.cpp
+++ b/libs/scheduling/src/scheduler.cpp
@@ -48,17 +48,28 @@
     notices.push_back({event, task.job, task.ref, run, worker, std::move(detail)});
 }
 
+std::vector<std::int64_t> Scheduler::Impl::expectedRunMs(const JobRecord &record) const
+{
+    std::vector<std::int64_t> expected;
+    expected.reserve(record.spec.steps.size());
+    for (const StepSpec &step : record.spec.steps) {
+        expected.push_back(step.lasting ? 0 : runTimes.expected(record.queue, std::chrono::milliseconds(step.estimateMs)).count());
+    }
+    return expected;
+}
+
 void Scheduler::Impl::refreshOutlook(JobEntry &entry)
 {
     const JobSpec &spec = entry.job.record().spec;
-    const std::vector<std::int64_t> chains = chainsFrom(spec);
+    const std::vector<std::int64_t> runMs = expectedRunMs(entry.job.record());
+    const std::vector<std::int64_t> chains = chainsFrom(spec, runMs);
     JobOutlook &outlook = entry.outlook;
     outlook.chainLeftMs = 0;
     outlook.workAll = 0;
     outlook.workLeft = 0;
     std::int64_t chainAll = 0;
     for (std::size_t step = 0; step < spec.steps.size(); ++step) {
-        const double each = static_cast<double>(spec.steps[step].demand.cpu) / 1000.0 * static_cast<double>(spec.steps[step].estimateMs);
+        const double each = static_cast<double>(spec.steps[step].demand.cpu) / 1000.0 * static_cast<double>(runMs[step]);
         outlook.workAll += each * spec.steps[step].count;
         chainAll = std::max(chainAll, chains[step]);
         for (const Occurrence &occurrence : entry.job.record().occurrences) {
@@ -82,9 +93,11 @@
     if (entry.lasting) {
         return;
     }
+    const std::vector<StepSpec> &steps = entry.job.record().spec.steps;
+    const std::vector<std::int64_t> runMs = expectedRunMs(entry.job.record());
     Resources work;
-    for (const StepSpec &step : entry.job.record().spec.steps) {
-        work += step.demand * step.estimateMs * step.count;
+    for (std::size_t step = 0; step < steps.size(); ++step) {
+        work += steps[step].demand * runMs[step] * steps[step].count;
     }
     offered[entry.job.record().terms.pool].add(work, std::chrono::milliseconds(entry.outlook.chainLeftMs), now);
 }
--- a/libs/scheduling/src/schedulerresults.cpp
+++ b/libs/scheduling/src/schedulerresults.cpp
@@ -144,7 +144,7 @@
     }
     session.noteListing(listing, order.fencingToken, now);
     for (const ListedEnd &end : listing.ended) {
-        applyEnd(session, end, wallMs);
+        applyEnd(session, end, now, wallMs);
     }
     for (const ListedRun &run : listing.running) {
         applyRunning(session, run, now);
@@ -158,13 +158,26 @@
     }
 }
 
-void Scheduler::Impl::applyEnd(WorkerSession &session, const ListedEnd &end, std::int64_t wallMs)
+// Only of runs that were watched from their beginning, worked from the start and were near their data.
+void Scheduler::Impl::learnRunTime(const JobEntry &entry, const ListedEnd &end, const LiveRun &run, BootTime now)
 {
+    const StepSpec &step = entry.job.step(end.task.ref);
+    const bool usual = !step.lasting && !step.fills && !step.gang && step.dataRack.empty() && !step.sameRack;
+    if (end.how == RunEnd::Done && run.watched && usual) {
+        runTimes.note(entry.job.record().queue, std::chrono::milliseconds(step.estimateMs), now - run.since);
+    }
+}
+
+void Scheduler::Impl::applyEnd(WorkerSession &session, const ListedEnd &end, BootTime now, std::int64_t wallMs)
+{
+    JobEntry *entry = findEntry(end.task.job);
     const auto live = session.runs().find(end.task);
     if (live != session.runs().end() && live->second.run == end.run) {
+        if (entry != nullptr) {
+            learnRunTime(*entry, end, live->second, now);
+        }
         removeRun(session, end.task);
     }
-    JobEntry *entry = findEntry(end.task.job);
     const Task *task = entry == nullptr ? nullptr : entry->job.findTask(end.task.ref);
     if (task == nullptr) {
         return;
@@ -252,6 +265,7 @@
         session.noteClock(taken->clockMs, now);
         if (current) {
             live->second.start = StartProgress::Accepted;
+            live->second.watched = order.checkpoint.empty();
             live->second.since = now;
             live->second.percentAt = now;
             session.hasten(now);
--- a/libs/scheduling/src/schedulertime.cpp
+++ b/libs/scheduling/src/schedulertime.cpp
@@ -13,6 +13,8 @@
 // Placing is tried again this often while something waits and nothing changed: objectives pass with time.
 constexpr auto PlacingInterval = 100ms;
 constexpr auto HousekeepingInterval = 50ms;
+// Outlooks of jobs that wait follow what was learned of run times this often.
+constexpr auto EstimateInterval = 500ms;
 // Beyond the longest time that a stop may take, the order is taken for lost.
 constexpr auto StopMargin = 600ms;
 constexpr auto StopRetry = 300ms;
@@ -36,6 +38,7 @@
         impl.openDueOccurrences(wallMs);
         impl.endLeases(now, wallMs);
         impl.watchRuns(now);
+        impl.refreshWaiting(now);
         impl.forgetClosed(wallMs);
     }
     if (impl.placingWanted || now - impl.placedAt >= PlacingInterval) {
@@ -123,6 +126,19 @@
     }
 }
 
+void Scheduler::Impl::refreshWaiting(BootTime now)
+{
+    if (now - estimatedAt < EstimateInterval) {
+        return;
+    }
+    estimatedAt = now;
+    for (auto &[id, entry] : jobs) {
+        if (entry.mayHaveReady && entry.job.isOpen()) {
+            refreshOutlook(entry);
+        }
+    }
+}
+
 void Scheduler::Impl::forgetClosed(std::int64_t wallMs)
 {
     for (auto job = jobs.begin(); job != jobs.end() && droppedJobs.size() < ForgottenMax;) {
