Keep a quarter of the fleet spare, and move idle instances straight to where they are needed

Cause: the first 2.3 s of a surge find one spare instance in a pool; idle instances of a pool whose surge was over went to the standby pool and from there on to the next pool. Change: the spare part follows the size of the fleet; idle instances go before those of the standby pool; all of the offered load is prepared for.

--- a/libs/scheduling/include/scheduling/poolplan.h
+++ b/libs/scheduling/include/scheduling/poolplan.h
@@ -47,7 +47,7 @@
  * Answers the load pattern "each queue in turn asks for several times its mean": each pool is to have
  * what its runs and its waiting work need, or what comes in will need, so that instances are on their
  * way before the pool is full; when all pools together need more than there is, each gets
- * its part. Instances come from the standby pool, from those that are idle, and from pools that have
+ * its part. Instances come from those that are idle, from the standby pool, and from pools that have
  * more than they need, where the ones that are empty soonest take no new work. What nobody needs goes
  * to the standby pool. Pure; remembers the recent past only.
  */
--- a/libs/scheduling/src/poolplan.cpp
+++ b/libs/scheduling/src/poolplan.cpp
@@ -7,12 +7,11 @@
 
 namespace {
 
-// Room that is kept above what runs, so that the first jobs of a surge need not wait for a move.
-constexpr std::size_t SpareInstances = 1;
+// Part of all instances that the pools together keep above what they need, so that the first jobs of a
+// surge need not wait for a move.
+constexpr double SparePart = 0.25;
 // A pool gets one more instance once its work fills this much of it.
 constexpr double FillOfLast = 0.3;
-// Estimates of what comes in are rough; that part of them is prepared for.
-constexpr double OfferedPart = 0.9;
 // Moves in one decision; the next one sees what they did.
 constexpr std::size_t MovesAtOnce = 12;
 
@@ -110,6 +109,11 @@
             balance.idle.push_back(&view);
         }
     }
+    const auto working = std::count_if(pools.begin(), pools.end(), [](const auto &pool) {
+        return !pool.second.standby;
+    });
+    const double spareOfEach = SparePart * static_cast<double>(total) / static_cast<double>(std::max<std::ptrdiff_t>(1, working));
+    const std::size_t spare = std::max<std::size_t>(1, static_cast<std::size_t>(spareOfEach));
     double asked = 0;
     for (const auto &[pool, demand] : pools) {
         const auto waits = m_waitsSince.find(pool);
@@ -119,9 +123,9 @@
             continue;
         }
         const double present = instancesFor(waited ? demand.used + demand.backlog : demand.used, size);
-        const double instancesNeeded = std::max(present, OfferedPart * instancesFor(demand.offered, size));
+        const double instancesNeeded = std::max(present, instancesFor(demand.offered, size));
         const auto needed = static_cast<std::size_t>(std::max(0.0, std::ceil(instancesNeeded - FillOfLast)));
-        balance.want = std::max(needed, balance.bound) + SpareInstances;
+        balance.want = std::max(needed, balance.bound) + spare;
         asked += static_cast<double>(balance.want);
     }
     if (asked > static_cast<double>(total) && asked > 0) {
@@ -140,7 +144,8 @@
     std::map<std::string, Balance> balances = weigh(instances, pools, now);
     PoolDecision decision;
 
-    // Whoever has too much gives what is idle; the standby pool gives all.
+    // Whoever has too much gives what is idle; the standby pool gives all. An idle instance that goes straight to
+    // another pool saves its way to the standby pool.
     std::vector<const InstanceView *> free;
     for (auto &[pool, balance] : balances) {
         std::sort(balance.idle.begin(), balance.idle.end(), [this](const InstanceView *a, const InstanceView *b) {
@@ -158,7 +163,7 @@
         }
     }
     std::stable_partition(free.begin(), free.end(), [&](const InstanceView *view) {
-        return view->facts.pool == standby;
+        return view->facts.pool != standby;
     });
 
     std::size_t lacking = 0;
