Write all jobs to another partition of the store while theirs is away

Change: after three refusals or silences in a row, with the ownership log answering, the owner fences the next partition, writes all jobs there, and says so in the ownership log; only then anything counts as stored.

--- a/libs/jobnode/include/jobnode/fleetkeeper.h
+++ b/libs/jobnode/include/jobnode/fleetkeeper.h
@@ -50,6 +50,8 @@
     std::map<InstanceId, std::int64_t> recentOrders() const;
     /** Records that changed since the last call, for storing. */
     std::vector<WaveRecord> takeChanged();
+    /** The next takeChanged() gives the records of all waves. */
+    void renewAll();
 
 private:
     void refresh(BootTime now);
--- a/libs/jobnode/include/jobnode/ports.h
+++ b/libs/jobnode/include/jobnode/ports.h
@@ -33,6 +33,9 @@
 
 std::string_view toName(StoreFailure failure);
 
+/** A part of the store that may be away while others answer. */
+using StorePartition = std::uint32_t;
+
 /** Who owns the jobs. The newest record in the ownership log holds. */
 struct OwnershipRecord {
     std::string node;
@@ -48,10 +51,12 @@
     std::map<WorkerId, std::int64_t> silentWorkers;
     /** Written on release: instances that were ordered about recently, and how long ago, in milliseconds. */
     std::map<InstanceId, std::int64_t> recentInstanceOrders;
+    /** The partition whose records of jobs hold. */
+    StorePartition jobsPartition = 0;
 
     auto fields()
     {
-        return std::tie(node, life, address, epoch, released, silentWorkers, recentInstanceOrders);
+        return std::tie(node, life, address, epoch, released, silentWorkers, recentInstanceOrders, jobsPartition);
     }
 };
 
@@ -81,20 +86,23 @@
     std::function<void(std::uint64_t from, std::chrono::milliseconds wait, OwnershipHandler handler)> followOwnership;
     /** Appends if the log ends at @p at; gives the record's offset. */
     std::function<void(const OwnershipRecord &record, std::uint64_t at, OffsetHandler handler)> claimOwnership;
-    /** From now on nobody with an epoch below @p epoch can store jobs. */
-    std::function<void(std::uint64_t epoch, OffsetHandler handler)> fenceJobs;
+    /** From now on nobody with an epoch below @p epoch can store jobs in @p partition. */
+    std::function<void(StorePartition partition, std::uint64_t epoch, OffsetHandler handler)> fenceJobs;
     /**
      * Stores jobs and removals, all or nothing; @p sequence rises by one with each call of an
-     * epoch, and a repeat of the same call has no further effect.
+     * epoch for a partition, and a repeat of the same call has no further effect.
      */
-    std::function<void(std::uint64_t epoch,
+    std::function<void(StorePartition partition,
+                       std::uint64_t epoch,
                        std::uint64_t sequence,
                        const std::vector<std::pair<JobId, std::string>> &records,
                        const std::vector<JobId> &dropped,
                        OffsetHandler handler)>
         storeJobs;
-    /** A page of the newest record of each job, from @p after on. */
-    std::function<void(const std::string &after, JobPageHandler handler)> readJobs;
+    /** A page of the newest record of each job in @p partition, from @p after on. */
+    std::function<void(StorePartition partition, const std::string &after, JobPageHandler handler)> readJobs;
+    /** Partitions in which jobs may be kept, numbered from 0. */
+    StorePartition partitions = 1;
     /** Most bytes that one call of storeJobs() may carry. */
     std::size_t callBytesMax = 2097152;
 };
--- a/libs/jobnode/src/details/jobnodeimpl.h
+++ b/libs/jobnode/src/details/jobnodeimpl.h
@@ -65,6 +65,9 @@
     /** The latest epoch of this life that is over. */
     std::uint64_t endedEpoch = 0;
     bool claiming = false;
+    bool heartbeatInFlight = false;
+    /** The next heartbeat follows the present one at once. */
+    bool heartbeatWanted = false;
     bool releasing = false;
     bool stopped = false;
 
@@ -81,7 +84,9 @@
     void claim();
     void beginReign(std::uint64_t offset);
     void endReign(const std::string &reason);
+    void heartbeatIn(std::chrono::milliseconds delay);
     void heartbeat();
+    void noteHeartbeat(const OwnershipRecord &record, BootTime sentAt, const tl::expected<std::uint64_t, StoreFailure> &offset);
     void storeRelease(const OwnershipRecord &record, int triesLeft, const std::function<void()> &onDone);
     OwnershipRecord ownRecord() const;
     PredecessorLeases predecessorLeases() const;
--- a/libs/jobnode/src/details/reignimpl.h
+++ b/libs/jobnode/src/details/reignimpl.h
@@ -5,11 +5,14 @@
 #include <asio/steady_timer.hpp>
 
 #include <deque>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace Cornelquay {
 
+// Records that come together are stored together; half of what one store call takes.
+constexpr std::chrono::milliseconds StoreSpacing{8};
 // Pause before a store call is repeated.
 constexpr std::chrono::milliseconds StoreRetry{60};
 // Records of waves lie beside those of jobs, whose names hold no such sign.
@@ -25,19 +28,26 @@
     Reign::Responder respond;
 };
 
+/** Calls for the partition of the jobs that failed one after the other. */
+struct StoreTrouble {
+    int refused = 0;
+    int unanswered = 0;
+    /** When the first of them was sent. */
+    BootTime since{};
+};
+
 struct Reign::Impl : public std::enable_shared_from_this<Reign::Impl> {
-    Impl(const ReignContext &givenContext,
-         std::uint64_t givenEpoch,
-         PredecessorLeases predecessor,
-         InstanceHandOver handOver,
-         std::function<void(std::string)> givenOnDeposed)
+    Impl(const ReignContext &givenContext, std::uint64_t givenEpoch, Inheritance inheritance, std::function<void(std::string)> givenOnDeposed)
         : context(givenContext)
         , epoch(givenEpoch)
         , onDeposed(std::move(givenOnDeposed))
         , scheduler(context.times, givenEpoch)
         , timer(context.io)
         , retryTimer(context.io)
+        , partition(inheritance.jobsPartition % context.store.partitions)
+        , publishedPartition(partition)
         , batchesTotal(context.metrics.counter("store_batches_total", "Batches of job records that were stored"))
+        , partitionMovesTotal(context.metrics.counter("store_partition_moves_total", "Times that the jobs were written to another partition of the store"))
         , startsTotal(context.metrics.counter("run_starts_total", "Start orders sent to workers"))
         , lostTotal(context.metrics.counter("runs_lost_total", "Runs that ended without saying how"))
         , storeSeconds(context.metrics.latency("store_batch_seconds", "Time from handing a batch to the store to its answer"))
@@ -45,8 +55,9 @@
         , liveRuns(context.metrics.gauge("runs_live", "Runs that are or may be on workers"))
         , reachableWorkers(context.metrics.gauge("workers_reachable", "Workers that answer"))
     {
-        scheduler.setPredecessor(std::move(predecessor));
-        instances = std::make_shared<FleetKeeper>(context.instances, scheduler, context.instanceTimes, epoch, std::move(handOver), context.metrics);
+        scheduler.setPredecessor(std::move(inheritance.leases));
+        instances
+            = std::make_shared<FleetKeeper>(context.instances, scheduler, context.instanceTimes, epoch, std::move(inheritance.instances), context.metrics);
     }
 
     ReignContext context;
@@ -56,7 +67,12 @@
     std::shared_ptr<FleetKeeper> instances;
     asio::steady_timer timer;
     asio::steady_timer retryTimer;
+    /** Where batches go. */
+    StorePartition partition;
+    /** Where a successor would read; differs while the jobs are being written elsewhere. */
+    StorePartition publishedPartition;
     Counter batchesTotal;
+    Counter partitionMovesTotal;
     Counter startsTotal;
     Counter lostTotal;
     LatencyHistogram storeSeconds;
@@ -77,6 +93,11 @@
     std::deque<RecordBatch> chunks;
     bool storeInFlight = false;
     BootTime storeWaitsSince{};
+    StoreTrouble trouble;
+    /** The batch with which all jobs were in a partition that is not published yet; 0 for none. */
+    std::uint64_t movedBatch = 0;
+    /** What lies in the partition from before. */
+    std::set<std::string> leftOver;
     std::deque<WaitingAnswer> answers;
     std::size_t restored = 0;
     std::vector<std::pair<WaveSpec, BootTime>> waves;
@@ -94,9 +115,6 @@
     void schedulePump();
     void armTimer(std::chrono::milliseconds delay);
     void pump();
-    void storeNext(BootTime now);
-    void sendChunk();
-    void stored(std::uint64_t batch);
     void executeOrders(BootTime now);
     void execute(const StartOrder &order);
     void execute(const StopOrder &order);
@@ -109,6 +127,18 @@
     void expireAnswers();
     bool isStoreAway(BootTime now) const;
 
+    // Storing.
+    void storeNext(BootTime now);
+    void sendChunk();
+    void chunkStored();
+    void stored(std::uint64_t batch);
+    /** Calls @p again after a pause, or moves the jobs to another partition. */
+    void noteStoreFailure(StoreFailure failure, BootTime sentAt, std::function<void()> again);
+    bool mayMovePartition() const;
+    void movePartition(std::string_view reason);
+    void fenceMoved();
+    void readLeftOver(const std::string &after);
+
     // Calls.
     void handle(const JobCall &call, const Responder &respond);
     void submit(const JobCall &call, const Responder &respond);
--- a/libs/jobnode/src/fleetkeeper.cpp
+++ b/libs/jobnode/src/fleetkeeper.cpp
@@ -101,12 +101,23 @@
 {
     std::vector<WaveRecord> records;
     for (const std::uint64_t number : m_changed) {
-        records.push_back(m_waves.at(number).record());
+        const auto wave = m_waves.find(number);
+        records.push_back(wave == m_waves.end() ? m_restored.at(number) : wave->second.record());
     }
     m_changed.clear();
     return records;
 }
 
+void FleetKeeper::renewAll()
+{
+    for (const auto &[number, record] : m_restored) {
+        m_changed.insert(number);
+    }
+    for (const auto &[number, wave] : m_waves) {
+        m_changed.insert(number);
+    }
+}
+
 void FleetKeeper::advance(BootTime now, const FleetPolicy &policy, bool mayAct)
 {
     if (m_ended || now - m_decidedAt < DecideInterval) {
--- a/libs/jobnode/src/jobnodeownership.cpp
+++ b/libs/jobnode/src/jobnodeownership.cpp
@@ -124,6 +124,11 @@
     record.life = life;
     record.address = toText(Address{settings.peerAddress.host, mesh->port()});
     record.epoch = reign ? reign->epoch() : view.end() + 1;
+    if (reign) {
+        record.jobsPartition = reign->jobsPartition();
+    } else if (view.owner()) {
+        record.jobsPartition = view.owner()->jobsPartition;
+    }
     return record;
 }
 
@@ -200,20 +205,24 @@
     owning.set(1);
     published.clear();
     logChange("owner", "taking over", {{"epoch", std::to_string(epoch)}, {"predecessor", predecessor ? predecessor->node : ""}});
-    reign = std::make_shared<Reign>(ReignContext{io, store, workers, registry, instances, metrics, settings.times, settings.ownership, settings.instanceTimes},
-                                    epoch,
-                                    predecessorLeases(),
-                                    instanceHandOver(),
-                                    [weak = weak_from_this()](const std::string &reason) {
-                                        if (const auto self = weak.lock()) {
-                                            self->endReign(reason);
-                                        }
-                                    });
+    Inheritance inheritance{predecessorLeases(), instanceHandOver(), predecessor ? predecessor->jobsPartition : 0};
+    const auto publish = [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->heartbeatIn(0ms);
+        }
+    };
+    const auto onDeposed = [weak = weak_from_this()](const std::string &reason) {
+        if (const auto self = weak.lock()) {
+            self->endReign(reason);
+        }
+    };
+    const ReignContext context{io, store, workers, registry, instances, metrics, settings.times, settings.ownership, settings.instanceTimes, publish};
+    reign = std::make_shared<Reign>(context, epoch, std::move(inheritance), onDeposed);
     for (const auto &[number, wave] : waves) {
         reign->addWave(wave.first, wave.second);
     }
     reign->begin(configuration->policy);
-    heartbeat();
+    heartbeatIn(settings.ownership.heartbeat);
 }
 
 void JobNode::Impl::endReign(const std::string &reason)
@@ -232,36 +241,52 @@
     });
 }
 
-void JobNode::Impl::heartbeat()
+void JobNode::Impl::heartbeatIn(std::chrono::milliseconds delay)
 {
-    heartbeatTimer.expires_after(settings.ownership.heartbeat);
+    if (heartbeatInFlight) {
+        heartbeatWanted = heartbeatWanted || delay == 0ms;
+        return;
+    }
+    heartbeatTimer.expires_after(delay);
     heartbeatTimer.async_wait([self = shared_from_this()](const asio::error_code &error) {
-        if (error || self->stopped || !self->reign || self->releasing) {
-            return;
-        }
-        const BootTime sentAt = BootClock::now();
-        OwnershipRecord record = self->ownRecord();
-        record.silentWorkers = self->reign->silentWorkers();
-        // From the moment it is sent a successor may go by it.
-        self->published.insert(record.silentWorkers.begin(), record.silentWorkers.end());
-        self->reign->notePublished(self->published);
-        self->store.claimOwnership(record, self->view.end(), [self, sentAt, record](const tl::expected<std::uint64_t, StoreFailure> &offset) {
-            if (self->stopped || !self->reign || self->releasing) {
-                return;
-            }
-            if (offset) {
-                self->published = record.silentWorkers;
-                self->reign->notePublished(self->published);
-                self->reign->noteFresh(sentAt);
-            } else {
-                // A conflict is read from the log, which may hold this node's own earlier record.
-                logChange("owner", "heartbeat not stored", {{"reason", std::string(toName(offset.error()))}});
-            }
+        if (!error && !self->stopped && self->reign && !self->releasing) {
             self->heartbeat();
-        });
+        }
     });
 }
 
+void JobNode::Impl::heartbeat()
+{
+    const BootTime sentAt = BootClock::now();
+    OwnershipRecord record = ownRecord();
+    record.silentWorkers = reign->silentWorkers();
+    // From the moment it is sent a successor may go by it.
+    published.insert(record.silentWorkers.begin(), record.silentWorkers.end());
+    reign->notePublished(published);
+    heartbeatInFlight = true;
+    store.claimOwnership(record, view.end(), [self = shared_from_this(), sentAt, record](const tl::expected<std::uint64_t, StoreFailure> &offset) {
+        self->heartbeatInFlight = false;
+        if (!self->stopped && self->reign && !self->releasing) {
+            self->noteHeartbeat(record, sentAt, offset);
+        }
+    });
+}
+
+void JobNode::Impl::noteHeartbeat(const OwnershipRecord &record, BootTime sentAt, const tl::expected<std::uint64_t, StoreFailure> &offset)
+{
+    const bool ofThisReign = record.epoch == reign->epoch();
+    if (offset && ofThisReign) {
+        published = record.silentWorkers;
+        reign->notePublished(published);
+        reign->noteFresh(sentAt);
+        reign->noteJobsPartition(record.jobsPartition);
+    } else if (!offset) {
+        // A conflict is read from the log, which may hold this node's own earlier record.
+        logChange("owner", "heartbeat not stored", {{"reason", std::string(toName(offset.error()))}});
+    }
+    heartbeatIn(std::exchange(heartbeatWanted, false) && offset ? 0ms : settings.ownership.heartbeat);
+}
+
 // A heartbeat that was under way may have moved the end of the log.
 void JobNode::Impl::storeRelease(const OwnershipRecord &record, int triesLeft, const std::function<void()> &onDone)
 {
--- a/libs/jobnode/src/reign.cpp
+++ b/libs/jobnode/src/reign.cpp
@@ -29,7 +29,7 @@
 void Reign::Impl::fence()
 {
     const BootTime sentAt = BootClock::now();
-    context.store.fenceJobs(epoch, [self = shared_from_this(), sentAt](const tl::expected<std::uint64_t, StoreFailure> &result) {
+    context.store.fenceJobs(partition, epoch, [self = shared_from_this(), sentAt](const tl::expected<std::uint64_t, StoreFailure> &result) {
         if (self->ended) {
             return;
         }
@@ -48,7 +48,7 @@
 
 void Reign::Impl::readPage(const std::string &after)
 {
-    context.store.readJobs(after, [self = shared_from_this(), after](const tl::expected<JobPage, StoreFailure> &page) {
+    context.store.readJobs(partition, after, [self = shared_from_this(), after](const tl::expected<JobPage, StoreFailure> &page) {
         if (self->ended) {
             return;
         }
--- a/libs/jobnode/src/reignwork.cpp
+++ b/libs/jobnode/src/reignwork.cpp
@@ -1,5 +1,4 @@
 #include "details/reignimpl.h"
-#include "records/packing.h"
 #include "telemetry/log.h"
 
 #include <asio/post.hpp>
@@ -13,8 +12,6 @@
 
 using namespace std::chrono_literals;
 
-// Records that come together are stored together; half of what one store call takes.
-constexpr auto StoreSpacing = 8ms;
 // Pause of the owner's work while nothing comes from outside.
 constexpr auto PumpInterval = 25ms;
 
@@ -83,92 +80,6 @@
     armTimer(scheduler.hasUnstored() && !storeInFlight ? std::max<std::chrono::milliseconds>(1ms, storeAt + StoreSpacing - now) : PumpInterval);
 }
 
-void Reign::Impl::storeNext(BootTime now)
-{
-    if (storeInFlight || !scheduler.hasUnstored() || now < storeAt + StoreSpacing) {
-        return;
-    }
-    RecordBatch batch = scheduler.takeBatch();
-    for (const WaveRecord &wave : instances->takeChanged()) {
-        batch.records.emplace_back(WaveKeyPrefix + std::to_string(wave.number), Packing::toBytes(wave));
-    }
-    if (batch.isEmpty()) {
-        return;
-    }
-    // What does not fit into one call goes in several; the batch counts as stored after the last.
-    RecordBatch chunk;
-    chunk.number = batch.number;
-    std::size_t bytes = 0;
-    for (auto &record : batch.records) {
-        if (bytes + record.second.size() > context.store.callBytesMax / 2 && !chunk.records.empty()) {
-            chunks.push_back(std::exchange(chunk, RecordBatch{batch.number, {}, {}}));
-            bytes = 0;
-        }
-        bytes += record.second.size();
-        chunk.records.push_back(std::move(record));
-    }
-    chunk.dropped = std::move(batch.dropped);
-    chunks.push_back(std::move(chunk));
-    storeAt = now;
-    storeInFlight = true;
-    storeWaitsSince = now;
-    ++sequence;
-    sendChunk();
-}
-
-void Reign::Impl::sendChunk()
-{
-    const BootTime sentAt = BootClock::now();
-    const RecordBatch &chunk = chunks.front();
-    context.store.storeJobs(epoch, sequence, chunk.records, chunk.dropped, [self = shared_from_this(), sentAt](const auto &result) {
-        if (self->ended) {
-            return;
-        }
-        if (result) {
-            self->freshAt = std::max(self->freshAt, sentAt);
-            const std::uint64_t batch = self->chunks.front().number;
-            self->chunks.pop_front();
-            if (self->chunks.empty()) {
-                self->stored(batch);
-            } else {
-                ++self->sequence;
-                self->sendChunk();
-            }
-            return;
-        }
-        if (result.error() == StoreFailure::Fenced || result.error() == StoreFailure::Conflict) {
-            self->depose("the store refused a batch: " + std::string(toName(result.error())));
-            return;
-        }
-        logChange("owner", "batch not stored", {{"batch", std::to_string(self->chunks.front().number)}, {"reason", std::string(toName(result.error()))}});
-        self->retry(StoreRetry, [self] {
-            self->sendChunk();
-        });
-    });
-}
-
-void Reign::Impl::stored(std::uint64_t batch)
-{
-    const BootTime now = BootClock::now();
-    storeInFlight = false;
-    batchesTotal.increment();
-    storeSeconds.observe(static_cast<double>((now - storeWaitsSince).count()) / 1000.0);
-    scheduler.noteStored(batch, now);
-    std::vector<WaitingAnswer> ready;
-    for (auto waiting = answers.begin(); waiting != answers.end();) {
-        if (waiting->batch <= batch) {
-            ready.push_back(std::move(*waiting));
-            waiting = answers.erase(waiting);
-        } else {
-            ++waiting;
-        }
-    }
-    for (WaitingAnswer &waiting : ready) {
-        waiting.respond(std::move(waiting.answer));
-    }
-    schedulePump();
-}
-
 void Reign::Impl::executeOrders(BootTime now)
 {
     const std::chrono::milliseconds age = now - freshAt;
--- a/libs/jobnode/tests/jobnodetest.cpp
+++ b/libs/jobnode/tests/jobnodetest.cpp
@@ -7,6 +7,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <array>
 #include <map>
 
 using namespace Cornelquay;
@@ -39,9 +40,13 @@
 
     asio::io_context &io;
     std::vector<OwnershipRecord> ownership;
-    std::map<std::string, std::string> jobs;
-    std::uint64_t epoch = 0;
-    std::uint64_t sequence = 0;
+    struct Partition {
+        std::map<std::string, std::string> jobs;
+        std::uint64_t epoch = 0;
+        std::uint64_t sequence = 0;
+        bool away = false;
+    };
+    std::array<Partition, 3> partitions;
     bool away = false;
     /** The next batches are stored, but their answers are lost. */
     int lostAnswers = 0;
@@ -108,52 +113,77 @@
                 }
             });
         };
-        port.fenceJobs = [this](std::uint64_t given, const StorePort::OffsetHandler &handler) {
-            later([this, given, handler] {
-                if (given < epoch) {
+        port.partitions = static_cast<StorePartition>(partitions.size());
+        port.fenceJobs = [this](StorePartition number, std::uint64_t given, const StorePort::OffsetHandler &handler) {
+            later([this, &partition = partitions.at(number), given, handler] {
+                if (away || partition.away) {
+                    handler(tl::make_unexpected(StoreFailure::Refused));
+                } else if (given < partition.epoch) {
                     handler(tl::make_unexpected(StoreFailure::Fenced));
-                    return;
+                } else {
+                    partition.epoch = given;
+                    partition.sequence = 0;
+                    handler(0);
                 }
-                epoch = given;
-                sequence = 0;
-                handler(0);
             });
         };
-        port.storeJobs =
-            [this](std::uint64_t given, std::uint64_t number, const auto &records, const std::vector<JobId> &dropped, const StorePort::OffsetHandler &handler) {
-                later([this, given, number, records, dropped, handler] {
-                    if (given < epoch) {
-                        handler(tl::make_unexpected(StoreFailure::Fenced));
-                        return;
-                    }
-                    if (away) {
-                        handler(tl::make_unexpected(StoreFailure::Refused));
-                        return;
-                    }
-                    repeatedBatches += number <= sequence ? 1 : 0;
-                    sequence = std::max(sequence, number);
-                    for (const auto &[key, bytes] : records) {
-                        jobs[key] = bytes;
-                    }
-                    for (const JobId &job : dropped) {
-                        jobs.erase(job);
-                    }
-                    if (lostAnswers > 0) {
-                        --lostAnswers;
-                        handler(tl::make_unexpected(StoreFailure::Unanswered));
-                    } else {
-                        handler(number);
-                    }
-                });
-            };
-        port.readJobs = [this](const std::string &, const StorePort::JobPageHandler &handler) {
-            later([this, handler] {
-                handler(JobPage{{jobs.begin(), jobs.end()}, {}});
+        port.storeJobs = [this](StorePartition number,
+                                std::uint64_t given,
+                                std::uint64_t sequence,
+                                const auto &records,
+                                const std::vector<JobId> &dropped,
+                                const StorePort::OffsetHandler &handler) {
+            later([this, &partition = partitions.at(number), given, sequence, records, dropped, handler] {
+                store(partition, given, sequence, records, dropped, handler);
+            });
+        };
+        port.readJobs = [this](StorePartition number, const std::string &, const StorePort::JobPageHandler &handler) {
+            later([this, &partition = partitions.at(number), handler] {
+                if (away || partition.away) {
+                    handler(tl::make_unexpected(StoreFailure::Refused));
+                } else {
+                    handler(JobPage{{partition.jobs.begin(), partition.jobs.end()}, {}});
+                }
             });
         };
         return port;
     }
 
+    void store(Partition &partition,
+               std::uint64_t given,
+               std::uint64_t sequence,
+               const std::vector<std::pair<JobId, std::string>> &records,
+               const std::vector<JobId> &dropped,
+               const StorePort::OffsetHandler &handler)
+    {
+        if (away || partition.away) {
+            handler(tl::make_unexpected(StoreFailure::Refused));
+            return;
+        }
+        if (given < partition.epoch) {
+            handler(tl::make_unexpected(StoreFailure::Fenced));
+            return;
+        }
+        if (sequence > partition.sequence + 1) {
+            handler(tl::make_unexpected(StoreFailure::Conflict));
+            return;
+        }
+        repeatedBatches += sequence <= partition.sequence ? 1 : 0;
+        partition.sequence = std::max(partition.sequence, sequence);
+        for (const auto &[key, bytes] : records) {
+            partition.jobs[key] = bytes;
+        }
+        for (const JobId &job : dropped) {
+            partition.jobs.erase(job);
+        }
+        if (lostAnswers > 0) {
+            --lostAnswers;
+            handler(tl::make_unexpected(StoreFailure::Unanswered));
+        } else {
+            handler(sequence);
+        }
+    }
+
     WorkerPort workers()
     {
         WorkerPort port;
@@ -562,3 +592,91 @@
     fleet.callUntil(owner, JobCallKind::Submit, "0000000000000099", JobAnswerKind::Done);
     BOOST_TEST((fleet.call(owner, JobCallKind::State, refused).kind == JobAnswerKind::UnknownJob));
 }
+
+BOOST_AUTO_TEST_CASE(jobsMoveToAnotherPartitionWhileTheirsIsAway)
+{
+    Nodes fleet(2);
+    fleet.world.endsAtOnce = false;
+    JobNode &first = fleet.owner();
+    JobNode &second = fleet.other();
+    fleet.callUntil(first, JobCallKind::Submit, "0000000000000001", JobAnswerKind::Done);
+    fleet.awaitState(first, "0000000000000001", JobState::Running);
+    // Of an earlier time in which the jobs were there.
+    fleet.world.partitions[1].jobs["0000000000000009"] = fleet.world.partitions[0].jobs.at("0000000000000001");
+    fleet.world.partitions[0].away = true;
+    // Answered by its own first call: nobody is sent away.
+    BOOST_TEST((fleet.call(first, JobCallKind::Submit, "0000000000000002").kind == JobAnswerKind::Done));
+    fleet.awaitState(first, "0000000000000002", JobState::Running);
+    BOOST_TEST(fleet.world.ownership.back().jobsPartition == 1U);
+    BOOST_TEST(fleet.world.partitions[1].jobs.size() == 2U);
+    // A successor goes on there, even after the former partition is back.
+    fleet.world.partitions[0].away = false;
+    first.stop();
+    fleet.runUntil([&] {
+        return second.isOwner();
+    });
+    fleet.awaitState(second, "0000000000000001", JobState::Running);
+    fleet.awaitState(second, "0000000000000002", JobState::Running);
+    BOOST_TEST((fleet.call(second, JobCallKind::State, "0000000000000009").kind == JobAnswerKind::UnknownJob));
+    BOOST_TEST(fleet.world.starts == 4);
+}
+
+BOOST_AUTO_TEST_CASE(jobsMoveOnWhileSeveralPartitionsAreAway)
+{
+    Nodes fleet(1);
+    JobNode &owner = fleet.owner();
+    fleet.callUntil(owner, JobCallKind::Submit, "0000000000000001", JobAnswerKind::Done);
+    fleet.world.partitions[0].away = true;
+    fleet.world.partitions[1].away = true;
+    fleet.callUntil(owner, JobCallKind::Submit, "0000000000000002", JobAnswerKind::Done);
+    BOOST_TEST(fleet.world.ownership.back().jobsPartition == 2U);
+    fleet.awaitState(owner, "0000000000000001", JobState::Completed);
+    fleet.awaitState(owner, "0000000000000002", JobState::Completed);
+    BOOST_TEST(fleet.world.starts == 4);
+}
+
+BOOST_AUTO_TEST_CASE(aMoveThatDoesNotEndLeavesTheFormerPartitionInForce)
+{
+    Nodes fleet(2);
+    fleet.world.endsAtOnce = false;
+    JobNode &first = fleet.owner();
+    JobNode &second = fleet.other();
+    fleet.callUntil(first, JobCallKind::Submit, "0000000000000001", JobAnswerKind::Done);
+    fleet.awaitState(first, "0000000000000001", JobState::Running);
+    for (SharedWorld::Partition &partition : fleet.world.partitions) {
+        partition.away = true;
+    }
+    JobAnswer answer;
+    int number = 10;
+    fleet.runUntil([&] {
+        answer = fleet.call(first, JobCallKind::Submit, "00000000000000" + std::to_string(number++));
+        return answer.kind == JobAnswerKind::NotRun;
+    });
+    BOOST_TEST(fleet.world.ownership.back().jobsPartition == 0U);
+    first.stop();
+    for (SharedWorld::Partition &partition : fleet.world.partitions) {
+        partition.away = false;
+    }
+    fleet.runUntil([&] {
+        return second.isOwner();
+    });
+    fleet.awaitState(second, "0000000000000001", JobState::Running);
+    BOOST_TEST(fleet.world.starts == 2);
+}
+
+BOOST_AUTO_TEST_CASE(theWholeStoreAwayMovesNothing)
+{
+    Nodes fleet(1);
+    JobNode &owner = fleet.owner();
+    fleet.callUntil(owner, JobCallKind::Submit, "0000000000000001", JobAnswerKind::Done);
+    fleet.awaitState(owner, "0000000000000001", JobState::Completed);
+    fleet.world.away = true;
+    int number = 10;
+    fleet.runUntil([&] {
+        return fleet.call(owner, JobCallKind::Submit, "00000000000000" + std::to_string(number++)).kind == JobAnswerKind::NotRun;
+    });
+    fleet.world.away = false;
+    fleet.callUntil(owner, JobCallKind::Submit, "0000000000000099", JobAnswerKind::Done);
+    BOOST_TEST(fleet.world.ownership.back().jobsPartition == 0U);
+    BOOST_TEST(fleet.world.partitions[1].jobs.empty());
+}
--- a/libs/scheduling/include/scheduling/scheduler.h
+++ b/libs/scheduling/include/scheduling/scheduler.h
@@ -169,6 +169,8 @@
     // Commands: time and storage.
     void advance(BootTime now, std::int64_t wallMs);
     RecordBatch takeBatch();
+    /** The next batch has all jobs, whether they changed or not; batches that were not stored need not be any more. */
+    void renewAll();
     void noteStored(std::uint64_t batch, BootTime now);
     std::vector<Order> takeOrders(BootTime now, OrderScope scope);
     std::vector<Notice> takeNotices();
--- a/libs/scheduling/src/details/schedulerimpl.h
+++ b/libs/scheduling/src/details/schedulerimpl.h
@@ -102,6 +102,7 @@
     // Records.
     void markDirty(JobEntry &entry);
     std::uint64_t gate() const;
+    void noteStartsStored(const std::vector<std::pair<WorkerId, TaskName>> &starts, std::uint64_t batch);
     JobEntry *findEntry(const JobId &job);
     /** How long a task of each step will run, in milliseconds. */
     std::vector<std::int64_t> expectedRunMs(const JobRecord &record) const;
--- a/libs/scheduling/src/scheduler.cpp
+++ b/libs/scheduling/src/scheduler.cpp
@@ -320,32 +320,54 @@
     return batch;
 }
 
+void Scheduler::renewAll()
+{
+    for (auto &[id, entry] : m_impl->jobs) {
+        if (!entry.dirty) {
+            entry.dirty = true;
+            m_impl->dirtyJobs.push_back(id);
+        }
+    }
+}
+
 void Scheduler::noteStored(std::uint64_t batch, BootTime now)
 {
     Impl &impl = *m_impl;
     impl.storedBatch = std::max(impl.storedBatch, batch);
-    for (const auto &[id, state] : impl.batchStates[batch]) {
-        if (JobEntry *entry = impl.findEntry(id)) {
-            entry->stored = true;
-            entry->storedState = state;
+    // Batches before it may have been given up for this one.
+    const auto states = impl.batchStates.upper_bound(batch);
+    for (auto given = impl.batchStates.begin(); given != states; ++given) {
+        for (const auto &[id, state] : given->second) {
+            if (JobEntry *entry = impl.findEntry(id)) {
+                entry->stored = true;
+                entry->storedState = state;
+            }
         }
     }
-    impl.batchStates.erase(batch);
-    for (const auto &[worker, task] : impl.batchStarts[batch]) {
-        const auto session = impl.workers.find(worker);
-        if (session == impl.workers.end()) {
+    impl.batchStates.erase(impl.batchStates.begin(), states);
+    const auto starts = impl.batchStarts.upper_bound(batch);
+    for (auto given = impl.batchStarts.begin(); given != starts; ++given) {
+        impl.noteStartsStored(given->second, batch);
+    }
+    impl.batchStarts.erase(impl.batchStarts.begin(), starts);
+    for (auto &[id, session] : impl.workers) {
+        session.noteStored(impl.storedBatch, now);
+    }
+}
+
+void Scheduler::Impl::noteStartsStored(const std::vector<std::pair<WorkerId, TaskName>> &starts, std::uint64_t batch)
+{
+    for (const auto &[worker, task] : starts) {
+        const auto session = workers.find(worker);
+        if (session == workers.end()) {
             continue;
         }
         const auto run = session->second.runs().find(task);
         if (run != session->second.runs().end() && run->second.start == StartProgress::Unstored && run->second.batch <= batch) {
             run->second.start = StartProgress::Due;
-            impl.dueStarts.emplace_back(worker, task);
+            dueStarts.emplace_back(worker, task);
         }
     }
-    impl.batchStarts.erase(batch);
-    for (auto &[id, session] : impl.workers) {
-        session.noteStored(impl.storedBatch, now);
-    }
 }
 
 std::vector<Notice> Scheduler::takeNotices()
