Take an owner for gone after 1 s of silence instead of 2

Cause: each owner that was killed without a word, frozen or cut off stopped all starts for 2 s and more: reads of the ownership log came back every 0.7 s only. Change: heartbeats every 0.25 s, reads of 0.35 s, orders for 0.85 s after the latest success; an answer counts as lost after 0.5 s and the heartbeat is repeated at once, or a store that loses answers would look like silence.

--- a/libs/jobnode/include/jobnode/ownershipview.h
+++ b/libs/jobnode/include/jobnode/ownershipview.h
@@ -11,11 +11,13 @@
 /** When silence of an owner counts. */
 struct OwnershipTimes {
     /** How often an owner says that it is there. */
-    std::chrono::milliseconds heartbeat{600};
+    std::chrono::milliseconds heartbeat{250};
+    /** Answers of the ownership log that take longer are lost; with a heartbeat more still below the silence. */
+    std::chrono::milliseconds answer{500};
     /** Silence, while the store answers, after which another node takes over. */
-    std::chrono::milliseconds silence{2000};
+    std::chrono::milliseconds silence{1000};
     /** Age of its latest success in the store up to which an owner gives orders; below the silence. */
-    std::chrono::milliseconds orderFreshness{1500};
+    std::chrono::milliseconds orderFreshness{850};
     /** Age up to which it extends leases, so that work outlives an outage of the store. */
     std::chrono::milliseconds leaseFreshness{3500};
 };
--- a/libs/jobnode/include/jobnode/ports.h
+++ b/libs/jobnode/include/jobnode/ports.h
@@ -86,8 +86,8 @@
     std::function<void(OwnershipHandler handler)> newestOwnership;
     /** Records from offset @p from on; waits for one for @p wait. */
     std::function<void(std::uint64_t from, std::chrono::milliseconds wait, OwnershipHandler handler)> followOwnership;
-    /** Appends if the log ends at @p at; gives the record's offset. */
-    std::function<void(const OwnershipRecord &record, std::uint64_t at, OffsetHandler handler)> claimOwnership;
+    /** Appends if the log ends at @p at; gives the record's offset, or no answer after @p wait. */
+    std::function<void(const OwnershipRecord &record, std::uint64_t at, std::chrono::milliseconds wait, OffsetHandler handler)> claimOwnership;
     /** From now on nobody with an epoch below @p epoch can store jobs in @p partition. */
     std::function<void(StorePartition partition, std::uint64_t epoch, OffsetHandler handler)> fenceJobs;
     /**
--- a/libs/jobnode/src/jobnodeownership.cpp
+++ b/libs/jobnode/src/jobnodeownership.cpp
@@ -15,7 +15,7 @@
 constexpr std::uint32_t ClaimSpreadMs = 60;
 constexpr auto ClaimDelayMost = 400ms;
 // A call of the ownership log answers at least this often, so that silence is noticed in time.
-constexpr auto FollowWait = 700ms;
+constexpr auto FollowWait = 350ms;
 constexpr auto FollowRetry = 200ms;
 // A node without an owner to follow looks this often whether its claim is due.
 constexpr auto ClaimLookInterval = 50ms;
@@ -192,7 +192,7 @@
     predecessorHeardAt = view.heardAt();
     const std::uint64_t at = view.end();
     logChange("node", "claiming ownership", {{"offset", std::to_string(at)}});
-    store.claimOwnership(ownRecord(), at, [self = shared_from_this(), at](const tl::expected<std::uint64_t, StoreFailure> &offset) {
+    store.claimOwnership(ownRecord(), at, settings.ownership.answer, [self = shared_from_this(), at](const tl::expected<std::uint64_t, StoreFailure> &offset) {
         self->claiming = false;
         if (self->stopped) {
             return;
@@ -271,12 +271,13 @@
     published.insert(record.silentWorkers.begin(), record.silentWorkers.end());
     reign->notePublished(published);
     heartbeatInFlight = true;
-    store.claimOwnership(record, view.end(), [self = shared_from_this(), sentAt, record](const tl::expected<std::uint64_t, StoreFailure> &offset) {
-        self->heartbeatInFlight = false;
-        if (!self->stopped && self->reign && !self->releasing) {
-            self->noteHeartbeat(record, sentAt, offset);
-        }
-    });
+    store.claimOwnership(
+        record, view.end(), settings.ownership.answer, [self = shared_from_this(), sentAt, record](const tl::expected<std::uint64_t, StoreFailure> &offset) {
+            self->heartbeatInFlight = false;
+            if (!self->stopped && self->reign && !self->releasing) {
+                self->noteHeartbeat(record, sentAt, offset);
+            }
+        });
 }
 
 void JobNode::Impl::noteHeartbeat(const OwnershipRecord &record, BootTime sentAt, const tl::expected<std::uint64_t, StoreFailure> &offset)
@@ -291,7 +292,8 @@
         // A conflict is read from the log, which may hold this node's own earlier record.
         logChange("owner", "heartbeat not stored", {{"reason", std::string(toName(offset.error()))}});
     }
-    heartbeatIn(std::exchange(heartbeatWanted, false) && offset ? 0ms : settings.ownership.heartbeat);
+    const bool lost = !offset && offset.error() == StoreFailure::Unanswered;
+    heartbeatIn(lost || (std::exchange(heartbeatWanted, false) && offset) ? 0ms : settings.ownership.heartbeat);
 }
 
 // Nodes are restarted one after the other: the one that was started last is not the next.
@@ -313,22 +315,25 @@
 // A heartbeat that was under way may have moved the end of the log.
 void JobNode::Impl::storeRelease(const OwnershipRecord &record, int triesLeft, const std::function<void()> &onDone)
 {
-    store.claimOwnership(record, view.end(), [self = shared_from_this(), record, triesLeft, onDone](const tl::expected<std::uint64_t, StoreFailure> &offset) {
-        logChange("owner", "released", {{"result", offset ? "stored" : std::string(toName(offset.error()))}});
-        const bool superseded = self->view.owner() && self->view.owner()->epoch > record.epoch;
-        if (offset || triesLeft <= 1 || superseded || self->stopped) {
-            onDone();
-            return;
-        }
-        self->heartbeatTimer.expires_after(ReleaseRetry);
-        self->heartbeatTimer.async_wait([self, record, triesLeft, onDone](const asio::error_code &error) {
-            if (error) {
-                onDone();
-                return;
-            }
-            self->storeRelease(record, triesLeft - 1, onDone);
-        });
-    });
+    store.claimOwnership(record,
+                         view.end(),
+                         settings.ownership.answer,
+                         [self = shared_from_this(), record, triesLeft, onDone](const tl::expected<std::uint64_t, StoreFailure> &offset) {
+                             logChange("owner", "released", {{"result", offset ? "stored" : std::string(toName(offset.error()))}});
+                             const bool superseded = self->view.owner() && self->view.owner()->epoch > record.epoch;
+                             if (offset || triesLeft <= 1 || superseded || self->stopped) {
+                                 onDone();
+                                 return;
+                             }
+                             self->heartbeatTimer.expires_after(ReleaseRetry);
+                             self->heartbeatTimer.async_wait([self, record, triesLeft, onDone](const asio::error_code &error) {
+                                 if (error) {
+                                     onDone();
+                                     return;
+                                 }
+                                 self->storeRelease(record, triesLeft - 1, onDone);
+                             });
+                         });
 }
 
 }
--- a/libs/jobnode/tests/jobnodetest.cpp
+++ b/libs/jobnode/tests/jobnodetest.cpp
@@ -98,7 +98,7 @@
                 },
                 10ms);
         };
-        port.claimOwnership = [this](const OwnershipRecord &record, std::uint64_t at, const StorePort::OffsetHandler &handler) {
+        port.claimOwnership = [this](const OwnershipRecord &record, std::uint64_t at, std::chrono::milliseconds, const StorePort::OffsetHandler &handler) {
             later([this, record, at, handler] {
                 if (away) {
                     handler(tl::make_unexpected(StoreFailure::Refused));
@@ -415,6 +415,21 @@
     BOOST_TEST(view.shouldClaim(Start + 10s + times.silence + 60ms));
 }
 
+// A store that loses answers: each heartbeat comes after one whose answer was waited for in vain.
+BOOST_AUTO_TEST_CASE(lostAnswersAreNoSilence)
+{
+    const OwnershipTimes times;
+    BOOST_TEST((times.orderFreshness < times.silence));
+    OwnershipView view(times, 0ms, "self");
+    BootTime now = Start;
+    for (std::uint64_t offset = 1; offset < 20; ++offset, now += times.answer + times.heartbeat) {
+        BOOST_TEST(!view.shouldClaim(now));
+        view.notePage(makePage(offset, {makeOwner("a", 1)}), now);
+        view.notePage(makePage(offset), now + times.answer);
+        BOOST_TEST(!view.shouldClaim(now + times.answer));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(aReleasedOwnershipIsClaimedAtOnce)
 {
     OwnershipView view(OwnershipTimes{}, 50ms, "self");
