Start the members of a gang together or not at all

Change: starts of a gang leave together; when one member does not run, those not sent are taken back and the others stopped. The scheduler's scripted tests share one harness.

--- a/libs/scheduling/src/details/schedulerimpl.h
+++ b/libs/scheduling/src/details/schedulerimpl.h
@@ -63,6 +63,16 @@
     std::vector<Resources> refused;
 };
 
+/** Whether a start order may leave. */
+enum class Sendable : std::uint8_t {
+    Now,
+    /** Once the worker has answered, or its lease may be extended again. */
+    Later,
+    Never,
+    /** There is nothing to send any more. */
+    Gone,
+};
+
 struct Scheduler::Impl {
     Impl(SchedulerTimes givenTimes, std::uint64_t epoch);
 
@@ -115,6 +125,8 @@
     void addRun(WorkerSession &session, const TaskName &task, const JobEntry &entry, LiveRun run);
     void removeRun(WorkerSession &session, const TaskName &task);
     void loseRun(WorkerSession &session, const TaskName &task, std::int64_t wallMs, std::string_view reason);
+    /** Ends the other members of the gang that @p task was a member of in run @p run. */
+    void breakGang(const JobEntry &entry, const TaskName &task, std::uint32_t run, std::int64_t wallMs);
     void loseAllRuns(WorkerSession &session, std::int64_t wallMs, std::string_view reason);
     void wantStop(WorkerSession &session, const TaskName &task, std::string_view reason);
     bool mayTakeOut(const TaskName &task);
@@ -150,6 +162,8 @@
 
     // Orders.
     void releaseStarts(BootTime now);
+    Sendable judgeStart(const WorkerId &worker, const TaskName &task, BootTime now);
+    void sendStart(const WorkerId &worker, const TaskName &task, BootTime now);
     void releaseStops(BootTime now);
     void releaseHolds(BootTime now, std::vector<Order> &taken);
 };
--- a/libs/scheduling/src/schedulerresults.cpp
+++ b/libs/scheduling/src/schedulerresults.cpp
@@ -52,6 +52,35 @@
     if (entry != nullptr && entry->job.lose(task.ref, run, wallMs) != EndOutcome::Ignored) {
         refreshOutlook(*entry);
         markDirty(*entry);
+        if (entry->job.isOpen() && entry->job.step(task.ref).gang) {
+            breakGang(*entry, task, run, wallMs);
+        }
+    }
+}
+
+// The others would wait for the member that was lost, and end on their own only after that.
+void Scheduler::Impl::breakGang(const JobEntry &entry, const TaskName &task, std::uint32_t run, std::int64_t wallMs)
+{
+    const Occurrence *occurrence = entry.job.findOccurrence(task.ref.occurrence);
+    if (occurrence == nullptr) {
+        return;
+    }
+    const std::vector<Task> members = occurrence->steps[task.ref.step];
+    for (std::uint32_t index = 0; index < members.size(); ++index) {
+        const TaskName other{task.job, {task.ref.occurrence, task.ref.step, index}};
+        const auto worker = workers.find(members[index].worker);
+        if (members[index].phase != TaskPhase::Placed || members[index].run != run || worker == workers.end()) {
+            continue;
+        }
+        const auto live = worker->second.runs().find(other);
+        if (live == worker->second.runs().end() || live->second.run != run) {
+            continue;
+        }
+        if (live->second.start == StartProgress::Unstored || live->second.start == StartProgress::Due) {
+            loseRun(worker->second, other, wallMs, "gang not complete");
+        } else {
+            wantStop(worker->second, other, "gang not complete");
+        }
     }
 }
 
--- a/libs/scheduling/src/schedulertime.cpp
+++ b/libs/scheduling/src/schedulertime.cpp
@@ -168,39 +168,66 @@
     return taken;
 }
 
+Sendable Scheduler::Impl::judgeStart(const WorkerId &worker, const TaskName &task, BootTime now)
+{
+    const auto found = workers.find(worker);
+    const JobEntry *entry = findEntry(task.job);
+    if (found == workers.end() || entry == nullptr) {
+        return Sendable::Gone;
+    }
+    const WorkerSession &session = found->second;
+    const auto live = session.runs().find(task);
+    if (live == session.runs().end() || live->second.start != StartProgress::Due) {
+        return Sendable::Gone;
+    }
+    const bool unusable = !session.isReachable() || !session.isRegistered() || session.facts().state != WorkerState::Ready;
+    if (!entry->job.isOpen() || live->second.stop != StopProgress::NotWanted || unusable || cordoned.count(worker) != 0) {
+        return Sendable::Never;
+    }
+    const bool ready = session.isConfirmed() && !session.isLeaseHeldBack() && session.leaseUntil(now);
+    return ready ? Sendable::Now : Sendable::Later;
+}
+
+void Scheduler::Impl::sendStart(const WorkerId &worker, const TaskName &task, BootTime now)
+{
+    WorkerSession &session = workers.at(worker);
+    LiveRun &run = session.runs().at(task);
+    run.start = StartProgress::InFlight;
+    run.startToken = session.token();
+    const std::int64_t lease = *session.leaseUntil(now);
+    session.noteLeaseExtension(now);
+    const Task *state = findEntry(task.job)->job.findTask(task.ref);
+    orders.emplace_back(StartOrder{worker, task, run.run, lease, run.startToken, state->checkpoint, run.ticket});
+}
+
 void Scheduler::Impl::releaseStarts(BootTime now)
 {
-    std::vector<std::pair<WorkerId, TaskName>> waiting;
-    for (const auto &[worker, task] : std::exchange(dueStarts, {})) {
-        const auto found = workers.find(worker);
-        JobEntry *entry = findEntry(task.job);
-        if (found == workers.end() || entry == nullptr) {
-            continue;
-        }
-        WorkerSession &session = found->second;
-        const auto live = session.runs().find(task);
-        if (live == session.runs().end() || live->second.start != StartProgress::Due) {
-            continue;
-        }
-        const bool unusable = !session.isReachable() || !session.isRegistered() || session.facts().state != WorkerState::Ready;
-        if (!entry->job.isOpen() || live->second.stop != StopProgress::NotWanted || unusable || cordoned.count(worker) != 0) {
+    const std::vector<std::pair<WorkerId, TaskName>> due = std::exchange(dueStarts, {});
+    // A gang leaves as a whole: its members are stored by one batch and so come here together.
+    using GangName = std::tuple<JobId, std::uint32_t, std::uint32_t>;
+    std::set<GangName> waitingGangs;
+    const auto gangOf = [](const TaskName &task) {
+        return GangName{task.job, task.ref.occurrence, task.ref.step};
+    };
+    for (const auto &[worker, task] : due) {
+        const Sendable sendable = judgeStart(worker, task, now);
+        const JobEntry *entry = findEntry(task.job);
+        if (sendable == Sendable::Never) {
             // Nothing was sent, so the run never existed.
-            loseRun(session, task, entry->job.record().closedMs, "not sent");
-            continue;
+            loseRun(workers.at(worker), task, entry->job.record().closedMs, "not sent");
+        } else if (sendable == Sendable::Later && entry->job.step(task.ref).gang) {
+            waitingGangs.insert(gangOf(task));
         }
-        const std::optional<std::int64_t> lease = session.leaseUntil(now);
-        if (!session.isConfirmed() || session.isLeaseHeldBack() || !lease) {
-            waiting.emplace_back(worker, task);
-            continue;
+    }
+    for (const auto &[worker, task] : due) {
+        // Judged again, as a gang ends with any of its members.
+        const Sendable sendable = judgeStart(worker, task, now);
+        if (sendable == Sendable::Later || (sendable == Sendable::Now && waitingGangs.count(gangOf(task)) != 0)) {
+            dueStarts.emplace_back(worker, task);
+        } else if (sendable == Sendable::Now) {
+            sendStart(worker, task, now);
         }
-        LiveRun &run = live->second;
-        run.start = StartProgress::InFlight;
-        run.startToken = session.token();
-        session.noteLeaseExtension(now);
-        const Task *state = entry->job.findTask(task.ref);
-        orders.emplace_back(StartOrder{worker, task, run.run, *lease, run.startToken, state->checkpoint, run.ticket});
-    }
-    dueStarts.insert(dueStarts.end(), waiting.begin(), waiting.end());
+    }
 }
 
 void Scheduler::Impl::releaseStops(BootTime now)
--- /dev/null
+++ b/libs/scheduling/tests/scriptedfleet.cpp
@@ -0,0 +1,104 @@
+#include "scriptedfleet.h"
+
+namespace Cornelquay::Testing {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::int64_t ClockMs = 5000;
+
+}
+
+ScriptedFleet::ScriptedFleet(const std::vector<WorkerId> &workers, Resources capacity)
+    : scheduler(SchedulerTimes{}, 1)
+{
+    policy->queues["queue"].terms = {"pool", 0, 3, 2.0, 1000};
+    scheduler.setPolicy(policy);
+    for (const WorkerId &id : workers) {
+        WorkerFacts facts;
+        facts.id = id;
+        facts.bornMs = 1;
+        facts.pool = "pool";
+        facts.address = "192.0.2.1:1";
+        facts.capacity = capacity;
+        scheduler.workerSeen(facts, now);
+    }
+}
+
+void ScriptedFleet::submit(const JobId &job, std::vector<StepSpec> steps)
+{
+    JobRecord record;
+    record.id = job;
+    record.queue = "queue";
+    record.terms = policy->queues["queue"].terms;
+    record.spec.steps = std::move(steps);
+    scheduler.submit(std::move(record), now, 1);
+}
+
+void ScriptedFleet::run(std::chrono::milliseconds duration)
+{
+    for (const BootTime until = now + duration; now < until;) {
+        now += 10ms;
+        scheduler.advance(now, 1);
+        const RecordBatch batch = scheduler.takeBatch();
+        if (!batch.isEmpty()) {
+            scheduler.noteStored(batch.number, now);
+        }
+        if (beforeOrders) {
+            beforeOrders();
+        }
+        for (const Order &order : scheduler.takeOrders(now, OrderScope::All)) {
+            carryOut(order);
+        }
+    }
+}
+
+void ScriptedFleet::end(const WorkerId &worker, const TaskName &task, RunEnd how)
+{
+    const std::uint32_t run = running[worker].at(task);
+    running[worker].erase(task);
+    m_ended[worker].push_back({m_ended[worker].size() + 1, task, run, how, ""});
+}
+
+void ScriptedFleet::carryOut(const Order &order)
+{
+    if (const StartOrder *start = std::get_if<StartOrder>(&order)) {
+        starts.push_back(*start);
+        const OrderResult result = onStart ? onStart(*start) : OrderResult(OrderTaken{ClockMs});
+        if (std::holds_alternative<OrderTaken>(result)) {
+            running[start->worker][start->task] = start->run;
+        }
+        scheduler.noteStart(*start, result, now, 1);
+    } else if (const StopOrder *stop = std::get_if<StopOrder>(&order)) {
+        stops.push_back(*stop);
+        if (running[stop->worker].count(stop->task) != 0) {
+            end(stop->worker, stop->task, RunEnd::Stopped);
+        }
+        scheduler.noteStop(*stop, OrderTaken{ClockMs}, now);
+    } else if (const PaceOrder *pace = std::get_if<PaceOrder>(&order)) {
+        paces.push_back(*pace);
+        scheduler.notePace(*pace, OrderTaken{ClockMs}, now);
+    } else if (const HoldOrder *hold = std::get_if<HoldOrder>(&order)) {
+        scheduler.noteHold(*hold, now - 1ms, list(*hold), now, 1);
+    }
+}
+
+Listing ScriptedFleet::list(const HoldOrder &order)
+{
+    Listing listing;
+    listing.bornMs = 1;
+    listing.clockMs = ClockMs;
+    for (const auto &[task, run] : running[order.worker]) {
+        const auto [percent, load] = onListed ? onListed(task) : std::pair<int, std::int64_t>(100, 0);
+        listing.running.push_back({task, run, "", percent, load});
+    }
+    for (const ListedEnd &end : m_ended[order.worker]) {
+        if (end.number > order.acknowledgedEnd) {
+            listing.ended.push_back(end);
+        }
+    }
+    return listing;
+}
+
+}
