Let every node ask the advice service, and ask again about workers that join

An answer that allowed nobody was taken for no answer, and the same workers were asked about again. Ruled out: several calls of the owner at once (the service takes them in turn); asking about single workers at once as they join (118 of 1,100 calls said 0 of 1). Change: nodes offer themselves to the owner, which hands them questions (AdviceDesk); as many are out as nodes may ask; no answer and nobody allowed differ; workers with room come first, and few new ones are asked about after a second. Tests: advicetest, allNodesAskTheAdviceService.

--- a/libs/jobnode/include/jobnode/jobcall.h
+++ b/libs/jobnode/include/jobnode/jobcall.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "jobs/job.h"
+#include "scheduling/orders.h"
 
 #include <array>
 #include <chrono>
@@ -19,10 +20,25 @@
     Cancel,
     /** Counts the queue's jobs that have not begun. */
     CountPending,
+    /** A node offers to ask the advice service, and brings what it said before. */
+    TakeAdvice,
 };
 
 std::string_view toName(JobCallKind kind);
 
+/** What the advice service said to a node that asked for the owner. */
+struct AdviceReport {
+    /** Names no job if there is nothing to report. */
+    AdviceOrder order;
+    bool answered = false;
+    std::vector<Permission> permissions;
+
+    auto fields()
+    {
+        return std::tie(order, answered, permissions);
+    }
+};
+
 /** One call of a client account, checked by the node that took it. */
 struct JobCall {
     JobCallKind kind = JobCallKind::State;
@@ -33,10 +49,12 @@
     JobSpec spec;
     /** Wall-clock milliseconds after which the caller does not wait any more. */
     std::int64_t deadlineMs = 0;
+    /** Of an offer to ask the advice service. */
+    AdviceReport advice;
 
     auto fields()
     {
-        return std::tie(kind, queue, account, job, spec, deadlineMs);
+        return std::tie(kind, queue, account, job, spec, deadlineMs, advice);
     }
 };
 
@@ -51,6 +69,8 @@
     NotRun,
     /** May have been carried out. */
     Unknown,
+    /** The advice service is to be asked. */
+    Advice,
 };
 
 std::string_view toName(JobAnswerKind kind);
@@ -63,10 +83,11 @@
     /** When coming back makes sense, in milliseconds. */
     std::int64_t retryAfterMs = 0;
     std::string reason;
+    AdviceOrder advice;
 
     auto fields()
     {
-        return std::tie(kind, state, pending, retryAfterMs, reason);
+        return std::tie(kind, state, pending, retryAfterMs, reason, advice);
     }
 
     static JobAnswer notRun(std::string reason, std::int64_t retryAfterMs);
--- a/libs/jobnode/include/jobnode/ports.h
+++ b/libs/jobnode/include/jobnode/ports.h
@@ -113,7 +113,7 @@
 struct WorkerPort {
     using OrderHandler = std::function<void(OrderResult result)>;
     using HoldHandler = std::function<void(HoldResult result)>;
-    using AdviceHandler = std::function<void(std::vector<Permission> permissions)>;
+    using AdviceHandler = std::function<void(AdviceResult result)>;
 
     std::function<void(const WorkerFacts &worker, const StartOrder &order, const std::string &payload, OrderHandler handler)> start;
     std::function<void(const WorkerFacts &worker, const StopOrder &order, OrderHandler handler)> stop;
--- a/libs/jobnode/src/details/jobnodeimpl.h
+++ b/libs/jobnode/src/details/jobnodeimpl.h
@@ -30,6 +30,7 @@
         , view(settings.ownership, claimDelayOf(settings), settings.name)
         , timer(givenIo)
         , heartbeatTimer(givenIo)
+        , adviceTimer(givenIo)
         , takeoversTotal(givenMetrics.counter("takeovers_total", "Times that this node became the owner of the jobs"))
         , handedOnTotal(givenMetrics.counter("calls_handed_on_total", "Calls handed to the owner of the jobs"))
         , owning(givenMetrics.gauge("owner", "1 while this node owns the jobs"))
@@ -48,6 +49,7 @@
     OwnershipView view;
     asio::steady_timer timer;
     asio::steady_timer heartbeatTimer;
+    asio::steady_timer adviceTimer;
     Counter takeoversTotal;
     Counter handedOnTotal;
     Gauge owning;
@@ -101,6 +103,10 @@
     void dialOwner();
     void handle(const JobCall &call, const Responder &respond);
     void handOn(const JobCall &call, const Responder &respond);
+    bool needsAdvice() const;
+    void offerAdviceIn(std::chrono::milliseconds delay, AdviceReport report);
+    /** Asks the advice service for the owner, as long as some queue needs it. */
+    void offerAdvice(AdviceReport report);
 };
 
 }
--- a/libs/jobnode/src/details/reignimpl.h
+++ b/libs/jobnode/src/details/reignimpl.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "details/advicedesk.h"
 #include "jobnode/reign.h"
 
 #include <asio/steady_timer.hpp>
@@ -42,6 +43,18 @@
         , epoch(givenEpoch)
         , onDeposed(std::move(givenOnDeposed))
         , scheduler(context.times, givenEpoch)
+        , advice(
+              scheduler,
+              [this](const AdviceOrder &order, const WorkerPort::AdviceHandler &handler) {
+                  context.workers.advise(order, [self = shared_from_this(), handler](const AdviceResult &result) {
+                      if (!self->ended) {
+                          handler(result);
+                      }
+                  });
+              },
+              [this] {
+                  schedulePump();
+              })
         , timer(context.io)
         , retryTimer(context.io)
         , partition(inheritance.jobsPartition % context.store.partitions)
@@ -65,6 +78,7 @@
     std::function<void(std::string)> onDeposed;
     Scheduler scheduler;
     std::shared_ptr<FleetKeeper> instances;
+    AdviceDesk advice;
     asio::steady_timer timer;
     asio::steady_timer retryTimer;
     /** Where batches go. */
--- a/libs/jobnode/src/jobnode.cpp
+++ b/libs/jobnode/src/jobnode.cpp
@@ -16,6 +16,10 @@
 constexpr std::int64_t HandOnMarginMs = 60;
 constexpr std::int64_t NoOwnerRetryAfterMs = 500;
 constexpr std::int64_t NotSentRetryAfterMs = 200;
+// Whether some queue needs advice, and who owns the jobs, is looked at this often.
+constexpr std::chrono::milliseconds AdviceLookInterval = 200ms;
+// An owner answers offers to ask the advice service within a second.
+constexpr std::int64_t AdviceOfferMs = 2000;
 
 }
 
@@ -105,6 +109,50 @@
               });
 }
 
+bool JobNode::Impl::needsAdvice() const
+{
+    return configuration && std::any_of(configuration->policy->queues.begin(), configuration->policy->queues.end(), [](const auto &queue) {
+               return queue.second.advice.has_value();
+           });
+}
+
+void JobNode::Impl::offerAdviceIn(std::chrono::milliseconds delay, AdviceReport report)
+{
+    adviceTimer.expires_after(delay);
+    adviceTimer.async_wait([self = shared_from_this(), report = std::move(report)](const asio::error_code &error) mutable {
+        if (!error && !self->stopped) {
+            self->offerAdvice(std::move(report));
+        }
+    });
+}
+
+void JobNode::Impl::offerAdvice(AdviceReport report)
+{
+    const std::optional<OwnershipRecord> &owner = view.owner();
+    if (reign || releasing || !needsAdvice() || !owner || isOwn(*owner) || owner->released) {
+        offerAdviceIn(AdviceLookInterval, {});
+        return;
+    }
+    JobCall call;
+    call.kind = JobCallKind::TakeAdvice;
+    call.deadlineMs = toUnixMilliseconds(wallNow()) + AdviceOfferMs;
+    call.advice = std::move(report);
+    handOn(call, [self = shared_from_this()](const JobAnswer &answer) {
+        if (self->stopped) {
+            return;
+        }
+        if (answer.kind != JobAnswerKind::Advice) {
+            self->offerAdviceIn(answer.retryAfterMs > 0 ? std::chrono::milliseconds(answer.retryAfterMs) : AdviceLookInterval, {});
+            return;
+        }
+        self->workers.advise(answer.advice, [self, order = answer.advice](const AdviceResult &result) {
+            if (!self->stopped) {
+                self->offerAdvice({order, result.has_value(), result.value_or(std::vector<Permission>{})});
+            }
+        });
+    });
+}
+
 JobNode::JobNode(
     asio::io_context &io, JobNodeSettings settings, StorePort store, WorkerPort workers, RegistryPort registry, InstancePort instances, Metrics &metrics)
     : m_impl(std::make_shared<Impl>(io, std::move(settings), std::move(store), std::move(workers), std::move(registry), std::move(instances), metrics))
@@ -121,6 +169,7 @@
 {
     m_impl->mesh->start();
     m_impl->readNewest();
+    m_impl->offerAdviceIn(AdviceLookInterval, {});
 }
 
 void JobNode::release(std::function<void()> onDone)
@@ -153,6 +202,7 @@
     m_impl->stopped = true;
     m_impl->timer.cancel();
     m_impl->heartbeatTimer.cancel();
+    m_impl->adviceTimer.cancel();
     if (m_impl->reign) {
         m_impl->reign->end();
         m_impl->reign = nullptr;
--- a/libs/jobnode/src/reign.cpp
+++ b/libs/jobnode/src/reign.cpp
@@ -136,6 +136,7 @@
     if (instances) {
         instances->end();
     }
+    advice.end();
     for (const WaitingAnswer &waiting : std::exchange(answers, {})) {
         waiting.respond(JobAnswer::unknown("the owner of the jobs changed"));
     }
--- a/libs/jobnode/src/reigncalls.cpp
+++ b/libs/jobnode/src/reigncalls.cpp
@@ -77,6 +77,9 @@
         respond(std::move(answer));
         break;
     }
+    case JobCallKind::TakeAdvice:
+        advice.take(call.advice, respond, BootClock::now());
+        break;
     }
     schedulePump();
 }
--- a/libs/jobnode/src/reignwork.cpp
+++ b/libs/jobnode/src/reignwork.cpp
@@ -50,6 +50,7 @@
         return;
     }
     const BootTime now = BootClock::now();
+    advice.advance(now);
     if (!settling) {
         scheduler.advance(now, toUnixMilliseconds(wallNow()));
         instances->advance(now, *policy, now - freshAt < context.ownership.orderFreshness);
@@ -150,12 +151,7 @@
 
 void Reign::Impl::execute(const AdviceOrder &order)
 {
-    context.workers.advise(order, [self = shared_from_this(), order](const std::vector<Permission> &permissions) {
-        if (!self->ended) {
-            self->scheduler.noteAdvice(order, permissions, BootClock::now());
-            self->schedulePump();
-        }
-    });
+    advice.give(order, BootClock::now());
 }
 
 void Reign::Impl::logNotices()
--- a/libs/jobnode/tests/jobnodetest.cpp
+++ b/libs/jobnode/tests/jobnodetest.cpp
@@ -57,6 +57,10 @@
     std::uint64_t token = 0;
     int starts = 0;
     int repeatedBatches = 0;
+    int questions = 0;
+    int questionsOut = 0;
+    int questionsAtOnce = 0;
+    int mostOfOneNode = 0;
     /** Tasks end as soon as they have started. */
     bool endsAtOnce = true;
 
@@ -233,8 +237,22 @@
                 5ms);
         };
         port.retain = [](const std::function<bool(const WorkerId &)> &) {};
-        port.advise = [](const AdviceOrder &, const WorkerPort::AdviceHandler &handler) {
-            handler({});
+        port.advise = [this, asking = std::make_shared<int>(0)](const AdviceOrder &order, const WorkerPort::AdviceHandler &handler) {
+            ++questions;
+            questionsAtOnce = std::max(questionsAtOnce, ++questionsOut);
+            ++*asking;
+            mostOfOneNode = std::max(mostOfOneNode, *asking);
+            later(
+                [this, asking, order, handler] {
+                    --*asking;
+                    --questionsOut;
+                    std::vector<Permission> permissions;
+                    for (const WorkerId &worker : order.workers) {
+                        permissions.push_back({worker, "ticket"});
+                    }
+                    handler(permissions);
+                },
+                50ms);
         };
         return port;
     }
@@ -647,6 +665,36 @@
     BOOST_TEST((fleet.call(owner, JobCallKind::State, refused).kind == JobAnswerKind::UnknownJob));
 }
 
+BOOST_AUTO_TEST_CASE(allNodesAskTheAdviceService)
+{
+    Nodes fleet(3);
+    auto policy = std::make_shared<FleetPolicy>(*fleet.configuration->policy);
+    policy->queues["queue"].advice = AdvicePolicy{50ms, 1ms, 3000ms};
+    auto configuration = std::make_shared<NodeConfiguration>(*fleet.configuration);
+    configuration->policy = policy;
+    fleet.owner();
+    for (const auto &node : fleet.nodes) {
+        node->setConfiguration(configuration);
+    }
+    fleet.other();
+    const std::vector<std::string> jobs
+        = {"0000000000000001", "0000000000000002", "0000000000000003", "0000000000000004", "0000000000000005", "0000000000000006"};
+    int round = 0;
+    // Until the other nodes have offered themselves the owner asks alone.
+    fleet.runUntil([&] {
+        ++round;
+        for (const std::string &job : jobs) {
+            fleet.callUntil(fleet.owner(), JobCallKind::Submit, std::to_string(round) + job, JobAnswerKind::Done);
+        }
+        for (const std::string &job : jobs) {
+            fleet.awaitState(fleet.owner(), std::to_string(round) + job, JobState::Completed);
+        }
+        return fleet.world.questionsAtOnce == 3;
+    });
+    // The service serves one call of each machine at a time.
+    BOOST_TEST(fleet.world.mostOfOneNode == 1);
+}
+
 BOOST_AUTO_TEST_CASE(jobsMoveToAnotherPartitionWhileTheirsIsAway)
 {
     Nodes fleet(2);
--- a/libs/scheduling/include/scheduling/orders.h
+++ b/libs/scheduling/include/scheduling/orders.h
@@ -4,8 +4,10 @@
 #include "timing/instant.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -82,6 +84,11 @@
     std::uint32_t occurrence = 0;
     std::uint32_t step = 0;
     std::vector<WorkerId> workers;
+
+    auto fields()
+    {
+        return std::tie(job, occurrence, step, workers);
+    }
 };
 
 using Order = std::variant<StartOrder, StopOrder, PaceOrder, HoldOrder, AdviceOrder>;
@@ -152,6 +159,14 @@
 struct Permission {
     WorkerId worker;
     std::string ticket;
+
+    auto fields()
+    {
+        return std::tie(worker, ticket);
+    }
 };
 
+/** The workers that may run a step; nothing if the service gave no answer. */
+using AdviceResult = std::optional<std::vector<Permission>>;
+
 }
--- a/libs/scheduling/include/scheduling/scheduler.h
+++ b/libs/scheduling/include/scheduling/scheduler.h
@@ -164,7 +164,9 @@
     void noteStart(const StartOrder &order, const OrderResult &result, BootTime now, std::int64_t wallMs);
     void noteStop(const StopOrder &order, const OrderResult &result, BootTime now);
     void notePace(const PaceOrder &order, const OrderResult &result, BootTime now);
-    void noteAdvice(const AdviceOrder &order, const std::vector<Permission> &permissions, BootTime now);
+    void noteAdvice(const AdviceOrder &order, const AdviceResult &result, BootTime now);
+    /** Calls of the advice service that may be out at once. */
+    void setAdviceSlots(std::size_t slots);
 
     // Commands: time and storage.
     void advance(BootTime now, std::int64_t wallMs);
--- a/libs/scheduling/src/details/schedulerimpl.h
+++ b/libs/scheduling/src/details/schedulerimpl.h
@@ -46,6 +46,8 @@
     std::set<WorkerId> refused;
     bool inFlight = false;
     BootTime askAgainAt{};
+    /** Before this the service is not asked about a few workers only. */
+    BootTime askFewAt{};
 };
 
 /** Jobs that an account may still send within its agreement. */
@@ -93,6 +95,7 @@
     RunTimes runTimes;
     std::map<std::pair<JobId, std::pair<std::uint32_t, std::uint32_t>>, StepAdvice> advice;
     std::size_t adviceInFlight = 0;
+    std::size_t adviceSlots = 1;
 
     std::uint64_t nextBatch = 1;
     std::uint64_t storedBatch = 0;
@@ -159,6 +162,8 @@
     bool isWithinCap(const JobEntry &entry, const Resources &demand) const;
     JobUrgency urgencyOf(const JobEntry &entry, BootTime now) const;
     StepAdvice *adviceFor(JobEntry &entry, const Occurrence &occurrence, std::uint32_t step, PoolRoom &room, BootTime now);
+    /** The workers to ask about next: those with room first. */
+    std::vector<WorkerId> workersToAsk(const StepAdvice &known, const Resources &demand, const PoolRoom &room, BootTime now) const;
 
     // Orders.
     void releaseStarts(BootTime now);
--- /dev/null
+++ b/libs/scheduling/tests/advicetest.cpp
@@ -0,0 +1,130 @@
+#include "scriptedfleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace Cornelquay;
+using namespace Cornelquay::Testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+StepSpec makeStep(std::uint32_t count)
+{
+    StepSpec step;
+    step.count = count;
+    step.demand = {1000, 100, 0};
+    step.estimateMs = 500;
+    return step;
+}
+
+/** A fleet whose only queue asks for permissions, which are good for 3 s. */
+struct AdvisedFleet : public ScriptedFleet {
+    explicit AdvisedFleet(const std::vector<WorkerId> &workers)
+        : ScriptedFleet(workers)
+    {
+        policy->queues["queue"].advice = AdvicePolicy{300ms, 2ms, 3000ms};
+        scheduler.setPolicy(policy);
+        run(100ms);
+    }
+
+    void answer(const AdviceResult &result)
+    {
+        const AdviceOrder order = questions.front();
+        questions.erase(questions.begin());
+        scheduler.noteAdvice(order, result, now);
+    }
+};
+
+}
+
+BOOST_AUTO_TEST_CASE(onlyPermittedWorkersAreUsedWithTheirTickets)
+{
+    AdvisedFleet fleet({"w1", "w2", "w3"});
+    fleet.submit("job", {makeStep(3)});
+    fleet.run(100ms);
+    BOOST_REQUIRE(fleet.questions.size() == 1U);
+    BOOST_TEST(fleet.questions.front().workers.size() == 3U);
+    BOOST_TEST(fleet.starts.empty());
+    fleet.answer(std::vector<Permission>{{"w2", "ticket-2"}});
+    fleet.run(100ms);
+    BOOST_REQUIRE(fleet.starts.size() == 3U);
+    for (const StartOrder &start : fleet.starts) {
+        BOOST_TEST(start.worker == "w2");
+        BOOST_TEST(start.ticket == "ticket-2");
+    }
+    BOOST_TEST(fleet.questions.empty());
+}
+
+// Load pattern: a surge in a queue of which the service answers three questions a second for each node.
+BOOST_AUTO_TEST_CASE(asManyQuestionsAreOutAsNodesMayAsk)
+{
+    AdvisedFleet fleet({"w1", "w2"});
+    for (int number = 0; number < 6; ++number) {
+        fleet.submit("job-" + std::to_string(number), {makeStep(1)});
+    }
+    fleet.run(100ms);
+    BOOST_TEST(fleet.questions.size() == 1U);
+    fleet.scheduler.setAdviceSlots(4);
+    fleet.run(100ms);
+    BOOST_TEST(fleet.questions.size() == 4U);
+    fleet.answer(std::vector<Permission>{{"w1", "t"}});
+    fleet.run(100ms);
+    BOOST_TEST(fleet.questions.size() == 4U);
+    BOOST_TEST(fleet.starts.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(aQuestionWithoutAnAnswerIsAskedAgain)
+{
+    AdvisedFleet fleet({"w1"});
+    fleet.submit("job", {makeStep(1)});
+    fleet.run(100ms);
+    BOOST_REQUIRE(fleet.questions.size() == 1U);
+    fleet.answer(std::nullopt);
+    fleet.run(300ms);
+    BOOST_TEST(fleet.questions.empty());
+    fleet.run(400ms);
+    BOOST_TEST(fleet.questions.size() == 1U);
+}
+
+// A step that nobody may run yet is not forgotten when a single worker joins.
+BOOST_AUTO_TEST_CASE(workersThatJoinLaterAreAskedAbout)
+{
+    AdvisedFleet fleet({"w1", "w2", "w3"});
+    fleet.submit("job", {makeStep(1)});
+    fleet.run(100ms);
+    fleet.answer(std::vector<Permission>{});
+    fleet.run(3s);
+    BOOST_TEST(fleet.questions.empty());
+    fleet.addWorker("w4");
+    fleet.run(1500ms);
+    BOOST_REQUIRE(fleet.questions.size() == 1U);
+    BOOST_TEST((fleet.questions.front().workers == std::vector<WorkerId>{"w4"}));
+    fleet.answer(std::vector<Permission>{{"w4", "t"}});
+    fleet.run(100ms);
+    BOOST_TEST(fleet.starts.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(permissionsThatAreOverAreAskedForAgain)
+{
+    AdvisedFleet fleet({"w1"});
+    fleet.onListed = [&](const TaskName &) {
+        return std::pair<int, std::int64_t>((fleet.now - ScriptedFleet::Start) / 100ms, 0);
+    };
+    fleet.submit("first", {makeStep(5)});
+    fleet.run(100ms);
+    fleet.answer(std::vector<Permission>{{"w1", "t1"}});
+    fleet.run(100ms);
+    // Four have room; the fifth waits until the permission is over.
+    BOOST_REQUIRE(fleet.starts.size() == 4U);
+    fleet.run(4s);
+    BOOST_REQUIRE(!fleet.questions.empty());
+    fleet.end("w1", fleet.starts.front().task, RunEnd::Done);
+    fleet.run(500ms);
+    BOOST_TEST(fleet.starts.size() == 4U);
+    fleet.answer(std::vector<Permission>{{"w1", "t2"}});
+    fleet.run(500ms);
+    BOOST_REQUIRE(fleet.starts.size() == 5U);
+    BOOST_TEST(fleet.starts.back().ticket == "t2");
+}
--- a/libs/scheduling/tests/scriptedfleet.cpp
+++ b/libs/scheduling/tests/scriptedfleet.cpp
@@ -12,20 +12,26 @@
 
 ScriptedFleet::ScriptedFleet(const std::vector<WorkerId> &workers, Resources capacity)
     : scheduler(SchedulerTimes{}, 1)
+    , m_capacity(capacity)
 {
     policy->queues["queue"].terms = {"pool", 0, 3, 2.0, 1000};
     scheduler.setPolicy(policy);
     for (const WorkerId &id : workers) {
-        WorkerFacts facts;
-        facts.id = id;
-        facts.bornMs = 1;
-        facts.pool = "pool";
-        facts.address = "192.0.2.1:1";
-        facts.capacity = capacity;
-        scheduler.workerSeen(facts, now);
+        addWorker(id);
     }
 }
 
+void ScriptedFleet::addWorker(const WorkerId &id)
+{
+    WorkerFacts facts;
+    facts.id = id;
+    facts.bornMs = 1;
+    facts.pool = "pool";
+    facts.address = "192.0.2.1:1";
+    facts.capacity = m_capacity;
+    scheduler.workerSeen(facts, now);
+}
+
 void ScriptedFleet::submit(const JobId &job, std::vector<StepSpec> steps)
 {
     JobRecord record;
@@ -79,6 +85,8 @@
     } else if (const PaceOrder *pace = std::get_if<PaceOrder>(&order)) {
         paces.push_back(*pace);
         scheduler.notePace(*pace, OrderTaken{ClockMs}, now);
+    } else if (const AdviceOrder *question = std::get_if<AdviceOrder>(&order)) {
+        questions.push_back(*question);
     } else if (const HoldOrder *hold = std::get_if<HoldOrder>(&order)) {
         scheduler.noteHold(*hold, now - 1ms, list(*hold), now, 1);
     }
--- a/libs/scheduling/tests/scriptedfleet.h
+++ b/libs/scheduling/tests/scriptedfleet.h
@@ -18,6 +18,7 @@
 
     explicit ScriptedFleet(const std::vector<WorkerId> &workers, Resources capacity = {4000, 4000, 0});
 
+    void addWorker(const WorkerId &id);
     /** Hands in a job. */
     void submit(const JobId &job, std::vector<StepSpec> steps);
     /** Lets @p duration pass, with a round of work every 10 ms. */
@@ -32,6 +33,8 @@
     std::vector<StartOrder> starts;
     std::vector<StopOrder> stops;
     std::vector<PaceOrder> paces;
+    /** For the advice service; answered by the test. */
+    std::vector<AdviceOrder> questions;
     /** What workers answer to a start. */
     std::function<OrderResult(const StartOrder &order)> onStart;
     /** How far a run is, in per cent, and its load figure. */
@@ -43,6 +46,7 @@
     void carryOut(const Order &order);
     Listing list(const HoldOrder &order);
 
+    const Resources m_capacity;
     std::map<WorkerId, std::vector<ListedEnd>> m_ended;
 };
 
