Refuse jobs that the advice service cannot be asked about in time

Ruled out: more calls at once (the service takes those of a machine in turn). Change: a job whose steps would be asked about only after three times its objective is refused at once, with the time until room as Retry-After.

--- a/libs/jobnode/src/reigncalls.cpp
+++ b/libs/jobnode/src/reigncalls.cpp
@@ -103,6 +103,10 @@
         record.account = call.account;
         record.terms = queue->second.terms;
         record.spec = call.spec;
+        if (const std::optional<std::chrono::milliseconds> behind = scheduler.adviceBehind(record)) {
+            respond(JobAnswer::notRun("the advice service is too far behind", behind->count()));
+            return;
+        }
         const SubmitOutcome outcome = scheduler.submit(std::move(record), now, toUnixMilliseconds(wallNow()));
         answerAfter(outcome.batch, call, JobAnswer::of(JobAnswerKind::Done), respond);
         return;
--- a/libs/scheduling/include/scheduling/scheduler.h
+++ b/libs/scheduling/include/scheduling/scheduler.h
@@ -181,6 +181,11 @@
     /** A worker has seen a higher token than this owner's: there is a successor. */
     bool isDeposed() const;
     bool isStored(std::uint64_t batch) const;
+    /**
+     * How far the advice service is behind for a job of this kind: nothing if the job could still be
+     * of use by the time that its steps were asked about.
+     */
+    std::optional<std::chrono::milliseconds> adviceBehind(const JobRecord &record) const;
     /** Something waits to be stored. */
     bool hasUnstored() const;
     /** What may be said of a job: only what is stored. Nothing if it is not known. */
--- a/libs/scheduling/src/details/schedulerimpl.h
+++ b/libs/scheduling/src/details/schedulerimpl.h
@@ -162,6 +162,8 @@
     bool isWithinCap(const JobEntry &entry, const Resources &demand) const;
     JobUrgency urgencyOf(const JobEntry &entry, BootTime now) const;
     StepAdvice *adviceFor(JobEntry &entry, const Occurrence &occurrence, std::uint32_t step, PoolRoom &room, BootTime now);
+    /** Questions that open jobs still need. */
+    std::size_t questionsLeft() const;
     /** The workers to ask about next: those with room first. */
     std::vector<WorkerId> workersToAsk(const StepAdvice &known, const Resources &demand, const PoolRoom &room, BootTime now) const;
 
--- a/libs/scheduling/tests/advicetest.cpp
+++ b/libs/scheduling/tests/advicetest.cpp
@@ -128,3 +128,33 @@
     BOOST_REQUIRE(fleet.starts.size() == 5U);
     BOOST_TEST(fleet.starts.back().ticket == "t2");
 }
+
+// Load pattern: more jobs of a queue come than the service can be asked about.
+BOOST_AUTO_TEST_CASE(jobsThatTheServiceCannotServeInTimeAreToldSo)
+{
+    AdvisedFleet fleet({"w1"});
+    JobRecord next;
+    next.id = "next";
+    next.queue = "queue";
+    next.terms = fleet.policy->queues["queue"].terms;
+    next.spec.steps = {makeStep(1)};
+    for (int number = 0; number < 10; ++number) {
+        fleet.submit("job-" + std::to_string(number), {makeStep(1)});
+    }
+    fleet.run(100ms);
+    BOOST_TEST(!fleet.scheduler.adviceBehind(next).has_value());
+    for (int number = 10; number < 30; ++number) {
+        fleet.submit("job-" + std::to_string(number), {makeStep(1)});
+    }
+    fleet.run(100ms);
+    // Thirty questions of 0.36 s, where a job is of use for three times its 2 s.
+    BOOST_REQUIRE(fleet.scheduler.adviceBehind(next).has_value());
+    BOOST_TEST((*fleet.scheduler.adviceBehind(next) > 4s));
+    BOOST_TEST((*fleet.scheduler.adviceBehind(next) < 6s));
+    fleet.scheduler.setAdviceSlots(4);
+    BOOST_TEST(!fleet.scheduler.adviceBehind(next).has_value());
+    // Lasting tasks serve whenever they begin.
+    next.spec.steps.front().lasting = true;
+    fleet.scheduler.setAdviceSlots(1);
+    BOOST_TEST(!fleet.scheduler.adviceBehind(next).has_value());
+}
