Give pools instances with the labels that their work waits for

Ruled out: the order of jobs (late ones waited beside free workers). Change: the backlog is kept by required label, and instances with it come first; the mean capacity counts.

--- a/libs/jobnode/src/fleetkeeper.cpp
+++ b/libs/jobnode/src/fleetkeeper.cpp
@@ -272,6 +272,7 @@
         PoolDemand demand;
         demand.standby = pool.standby;
         demand.backlog = m_scheduler.backlogOf(name);
+        demand.labelledBacklog = m_scheduler.labelledBacklogOf(name);
         demand.offered = m_scheduler.offeredTo(name, now);
         pools.emplace(name, demand);
     }
--- a/libs/scheduling/include/scheduling/poolplan.h
+++ b/libs/scheduling/include/scheduling/poolplan.h
@@ -16,6 +16,8 @@
     Resources used;
     /** Of work that is ready, finds no room and can still be in time. */
     Resources backlog;
+    /** The part of the backlog that needs workers with a label, by label. */
+    std::map<std::string, Resources> labelledBacklog;
     /** What the work that comes in keeps busy once it runs: its rate times its length. */
     Resources offered;
     bool standby = false;
@@ -69,11 +71,17 @@
         std::size_t bound = 0;
         std::vector<const InstanceView *> idle;
         std::vector<const InstanceView *> busy;
+        /** On their way to the pool. */
+        std::vector<const InstanceView *> coming;
+        /** Instances with a label that work waits for. */
+        std::map<std::string, std::size_t> labelled;
     };
 
     void observe(const std::map<InstanceId, InstanceView> &instances, const std::map<std::string, PoolDemand> &pools, BootTime now);
     std::map<std::string, Balance>
     weigh(const std::map<InstanceId, InstanceView> &instances, const std::map<std::string, PoolDemand> &pools, BootTime now) const;
+    /** Moves free instances with the labels that @p pool waits for; gives their number. */
+    std::size_t giveLabelled(const std::string &pool, const Balance &balance, std::vector<const InstanceView *> &free, PoolDecision &decision) const;
     bool isSettled(const InstanceId &instance, BootTime now) const;
     bool mayMove(const InstanceView &view, const std::string &pool) const;
 
--- a/libs/scheduling/include/scheduling/scheduler.h
+++ b/libs/scheduling/include/scheduling/scheduler.h
@@ -204,6 +204,8 @@
     std::map<WorkerId, std::chrono::milliseconds> silentWorkers(BootTime now) const;
     /** Work of @p pool that is ready, finds no room and can still be in time. */
     Resources backlogOf(const std::string &pool) const;
+    /** The part of it that needs workers with a label, by label. */
+    std::map<std::string, Resources> labelledBacklogOf(const std::string &pool) const;
 
 private:
     struct Impl;
--- a/libs/scheduling/src/details/schedulerimpl.h
+++ b/libs/scheduling/src/details/schedulerimpl.h
@@ -91,6 +91,8 @@
     std::map<std::string, Resources> accountUsed;
     std::map<std::string, SubmissionBucket> buckets;
     std::map<std::string, Resources> backlog;
+    /** Of it, by pool, what needs workers with a label. */
+    std::map<std::string, std::map<std::string, Resources>> labelledBacklog;
     std::map<std::string, OfferedLoad> offered;
     RunTimes runTimes;
     std::map<std::pair<JobId, std::pair<std::uint32_t, std::uint32_t>>, StepAdvice> advice;
@@ -156,6 +158,8 @@
     void placeJob(JobEntry &entry, PoolRoom &room, BootTime now);
     void placeStep(JobEntry &entry, const Occurrence &occurrence, std::uint32_t step, PoolRoom &room, BootTime now);
     void placeGang(JobEntry &entry, const Occurrence &occurrence, std::uint32_t step, PlacementRequest request, PoolRoom &room, BootTime now);
+    /** @p count tasks that could still be in time find no room. */
+    void noteBacklog(const JobEntry &entry, const PlacementRequest &request, std::uint32_t count);
     PlacementRequest makeRequest(const JobEntry &entry, const Occurrence &occurrence, std::uint32_t step) const;
     PlacementCandidate *choose(const PlacementRequest &request, PoolRoom &room, const StepAdvice *permissions, BootTime now);
     void commitPlacement(JobEntry &entry, const TaskRef &ref, std::uint32_t run, PlacementCandidate &candidate, const std::string &ticket, BootTime now);
--- a/libs/scheduling/src/poolplan.cpp
+++ b/libs/scheduling/src/poolplan.cpp
@@ -23,15 +23,19 @@
     return std::max({part(demand.cpu, instance.cpu), part(demand.memory, instance.memory), part(demand.gpu, instance.gpu)});
 }
 
-Resources largestOf(const std::map<InstanceId, InstanceView> &instances)
+Resources meanOf(const std::map<InstanceId, InstanceView> &instances)
 {
-    Resources size;
+    Resources sum;
     for (const auto &[id, view] : instances) {
-        size.cpu = std::max(size.cpu, view.facts.capacity.cpu);
-        size.memory = std::max(size.memory, view.facts.capacity.memory);
-        size.gpu = std::max(size.gpu, view.facts.capacity.gpu);
+        sum += view.facts.capacity;
     }
-    return size;
+    const auto count = static_cast<std::int64_t>(std::max<std::size_t>(1, instances.size()));
+    return {sum.cpu / count, sum.memory / count, sum.gpu / count};
+}
+
+bool hasLabel(const InstanceView &view, const std::string &label)
+{
+    return std::find(view.facts.labels.begin(), view.facts.labels.end(), label) != view.facts.labels.end();
 }
 
 std::string findStandby(const std::map<std::string, PoolDemand> &pools)
@@ -88,7 +92,7 @@
 std::map<std::string, PoolPlan::Balance>
 PoolPlan::weigh(const std::map<InstanceId, InstanceView> &instances, const std::map<std::string, PoolDemand> &pools, BootTime now) const
 {
-    const Resources size = largestOf(instances);
+    const Resources size = meanOf(instances);
     std::map<std::string, Balance> balances;
     std::size_t total = 0;
     for (const auto &[id, view] : instances) {
@@ -99,6 +103,7 @@
         ++total;
         ++balance.have;
         if (view.facts.state != InstancePhase::Up || view.ordered) {
+            balance.coming.push_back(&view);
             continue;
         }
         if (view.lasting > 0) {
@@ -122,6 +127,9 @@
         if (demand.standby) {
             continue;
         }
+        for (const auto &[label, backlog] : demand.labelledBacklog) {
+            balance.labelled[label] = waited ? static_cast<std::size_t>(std::ceil(instancesFor(backlog, size))) : 0;
+        }
         const double present = instancesFor(waited ? demand.used + demand.backlog : demand.used, size);
         const double instancesNeeded = std::max(present, instancesFor(demand.offered, size));
         const auto needed = static_cast<std::size_t>(std::max(0.0, std::ceil(instancesNeeded - FillOfLast)));
@@ -137,6 +145,29 @@
     return balances;
 }
 
+// Work that needs a label waits until such an instance is there, however many others are.
+std::size_t PoolPlan::giveLabelled(const std::string &pool, const Balance &balance, std::vector<const InstanceView *> &free, PoolDecision &decision) const
+{
+    std::size_t given = 0;
+    for (const auto &[label, wanted] : balance.labelled) {
+        const auto coming = static_cast<std::size_t>(std::count_if(balance.coming.begin(), balance.coming.end(), [&label = label](const InstanceView *view) {
+            return hasLabel(*view, label);
+        }));
+        std::size_t missing = wanted - std::min(wanted, coming);
+        for (auto view = free.begin(); view != free.end() && missing > 0 && decision.moves.size() < MovesAtOnce;) {
+            if ((*view)->facts.pool == pool || !hasLabel(**view, label) || !mayMove(**view, pool)) {
+                ++view;
+                continue;
+            }
+            decision.moves.push_back({(*view)->facts.id, pool});
+            view = free.erase(view);
+            --missing;
+            ++given;
+        }
+    }
+    return given;
+}
+
 PoolDecision PoolPlan::decide(const std::map<InstanceId, InstanceView> &instances, const std::map<std::string, PoolDemand> &pools, BootTime now)
 {
     observe(instances, pools, now);
@@ -169,6 +200,7 @@
     std::size_t lacking = 0;
     for (const auto &[pool, balance] : balances) {
         std::size_t missing = pool == standby ? 0 : balance.want - std::min(balance.have, balance.want);
+        missing -= std::min(missing, giveLabelled(pool, balance, free, decision));
         for (auto view = free.begin(); view != free.end() && missing > 0 && decision.moves.size() < MovesAtOnce;) {
             if (!mayMove(**view, pool)) {
                 ++view;
--- a/libs/scheduling/src/scheduler.cpp
+++ b/libs/scheduling/src/scheduler.cpp
@@ -477,4 +477,10 @@
     return found == m_impl->backlog.end() ? Resources{} : found->second;
 }
 
+std::map<std::string, Resources> Scheduler::labelledBacklogOf(const std::string &pool) const
+{
+    const auto found = m_impl->labelledBacklog.find(pool);
+    return found == m_impl->labelledBacklog.end() ? std::map<std::string, Resources>{} : found->second;
+}
+
 }
--- a/libs/scheduling/src/schedulerplacing.cpp
+++ b/libs/scheduling/src/schedulerplacing.cpp
@@ -48,6 +48,7 @@
     placedAt = now;
     placingWanted = false;
     backlog.clear();
+    labelledBacklog.clear();
     std::vector<std::pair<JobUrgency, JobEntry *>> waiting;
     for (auto &[id, entry] : jobs) {
         if (entry.mayHaveReady && entry.job.isOpen()) {
@@ -171,7 +172,7 @@
         if (chosen == nullptr) {
             entry.mayHaveReady = true;
             if (!isLate(entry.outlook, now)) {
-                backlog[entry.job.record().terms.pool] += request.demand;
+                noteBacklog(entry, request, 1);
             }
             continue;
         }
@@ -187,6 +188,15 @@
     }
 }
 
+void Scheduler::Impl::noteBacklog(const JobEntry &entry, const PlacementRequest &request, std::uint32_t count)
+{
+    const std::string &pool = entry.job.record().terms.pool;
+    backlog[pool] += request.demand * count;
+    if (!request.requiredLabel.empty()) {
+        labelledBacklog[pool][request.requiredLabel] += request.demand * count;
+    }
+}
+
 // All members of a gang or none, each where room is left after those before it.
 void Scheduler::Impl::placeGang(JobEntry &entry, const Occurrence &occurrence, std::uint32_t step, PlacementRequest request, PoolRoom &room, BootTime now)
 {
@@ -223,7 +233,7 @@
         chosen[index]->session->removeRun({entry.job.record().id, {occurrence.number, step, index}});
     }
     if (chosen.size() < count) {
-        backlog[entry.job.record().terms.pool] += request.demand * count;
+        noteBacklog(entry, request, count);
         return;
     }
     std::vector<WorkerId> ids;
--- a/libs/scheduling/tests/plantest.cpp
+++ b/libs/scheduling/tests/plantest.cpp
@@ -130,6 +130,31 @@
     BOOST_TEST(moved == 2U);
 }
 
+// Load pattern: work that needs a kind of worker waits beside idle workers of another kind.
+BOOST_AUTO_TEST_CASE(workThatNeedsALabelIsGivenInstancesThatHaveIt)
+{
+    PoolPlan plan{PoolTimes{}};
+    std::map<InstanceId, InstanceView> instances = makeInstances({{"pool", 6}, {"rest", 6}});
+    for (auto &[id, view] : instances) {
+        view.facts.labels = {id == "rest4" || id == "rest5" ? "b" : "a"};
+    }
+    std::map<std::string, PoolDemand> pools;
+    pools["pool"].backlog = {30000, 0, 0};
+    pools["pool"].labelledBacklog["b"] = {30000, 0, 0};
+    pools["rest"].standby = true;
+    plan.decide(instances, pools, Start);
+    const PoolDecision decision = plan.decide(instances, pools, Start + 200ms);
+    BOOST_REQUIRE(decision.moves.size() == 2U);
+    BOOST_TEST(decision.moves[0].instance == "rest4");
+    BOOST_TEST(decision.moves[1].instance == "rest5");
+    // On their way they are not asked for again.
+    for (const MoveInstance &move : decision.moves) {
+        instances.at(move.instance).ordered = true;
+        instances.at(move.instance).movingTo = move.pool;
+    }
+    BOOST_TEST(plan.decide(instances, pools, Start + 300ms).moves.empty());
+}
+
 // Load pattern: a queue's surge follows another's at once.
 BOOST_AUTO_TEST_CASE(idleInstancesOfACalmPoolHelp)
 {
