--- /dev/null
+++ b/libs/jobnode/tests/fleetkeepertest.cpp
@@ -0,0 +1,127 @@
+#include "jobnode/fleetkeeper.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <memory>
+
+using namespace Cornelquay;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::int64_t ClockMs = 5000;
+
+/** One instance, whose worker runs one task; the control plane answers as the test says. */
+struct KeptInstance {
+    KeptInstance()
+    {
+        policy->version = 1;
+        policy->queues["queue"].terms = {"pool", 0, 3, 2.0, 1000};
+        policy->pools["pool"] = {};
+        scheduler.setPolicy(policy);
+        port.list = [this](const std::string &, const InstancePort::ListHandler &handler) {
+            InstanceFacts facts;
+            facts.id = "m1";
+            facts.pool = "pool";
+            facts.worker = worker;
+            facts.capacity = {4000, 4000, 0};
+            handler(InstancePage{{facts}, {}});
+        };
+        port.order = [this](const InstanceOrder &, std::uint64_t, const InstancePort::OrderHandler &handler) {
+            ++orders;
+            handler(results.empty() ? InstanceResult(InstanceOrderTaken{}) : results.front());
+            if (!results.empty()) {
+                results.erase(results.begin());
+            }
+        };
+        port.reportWave = [](std::uint64_t, bool, const InstancePort::ReportHandler &handler) {
+            handler(true);
+        };
+        keeper = std::make_shared<FleetKeeper>(port, scheduler, InstanceTimes{}, 1, InstanceHandOver{true, {}, {}}, metrics);
+    }
+
+    /** A worker joins and is given the job. */
+    void runJobOn(const WorkerId &id, BootTime now)
+    {
+        worker = id;
+        WorkerFacts facts;
+        facts.id = id;
+        facts.bornMs = 1;
+        facts.pool = "pool";
+        facts.address = "192.0.2.1:1";
+        facts.capacity = {4000, 4000, 0};
+        scheduler.workerSeen(facts, now);
+        JobRecord record;
+        record.id = "job";
+        record.queue = "queue";
+        record.terms = policy->queues["queue"].terms;
+        StepSpec step;
+        step.demand = {1000, 100, 0};
+        step.estimateMs = 500;
+        record.spec.steps = {step};
+        scheduler.submit(std::move(record), now, 1);
+        for (int round = 0; round < 10; ++round) {
+            work(now + round * 10ms);
+        }
+    }
+
+    void work(BootTime now)
+    {
+        scheduler.advance(now, 1);
+        const RecordBatch batch = scheduler.takeBatch();
+        if (!batch.isEmpty()) {
+            scheduler.noteStored(batch.number, now);
+        }
+        for (const Order &order : scheduler.takeOrders(now, OrderScope::All)) {
+            if (const StartOrder *start = std::get_if<StartOrder>(&order)) {
+                ++starts;
+                running[start->task] = start->run;
+                scheduler.noteStart(*start, OrderTaken{ClockMs}, now, 1);
+            } else if (const HoldOrder *hold = std::get_if<HoldOrder>(&order)) {
+                Listing listing;
+                listing.bornMs = 1;
+                listing.clockMs = ClockMs;
+                for (const auto &[task, run] : running) {
+                    listing.running.push_back({task, run, "", 50, 0});
+                }
+                scheduler.noteHold(*hold, now - 1ms, listing, now, 1);
+            }
+        }
+    }
+
+    Metrics metrics;
+    Scheduler scheduler{SchedulerTimes{}, 1};
+    std::shared_ptr<FleetPolicy> policy = std::make_shared<FleetPolicy>();
+    InstancePort port;
+    std::shared_ptr<FleetKeeper> keeper;
+    WorkerId worker;
+    std::vector<InstanceResult> results;
+    std::map<TaskName, std::uint32_t> running;
+    int orders = 0;
+    int starts = 0;
+};
+
+}
+
+// An order without an answer is repeated; the repeat is taken without effect when the first was carried out.
+BOOST_AUTO_TEST_CASE(aRepeatedOrderDoesNotEndTheRunsOfTheNextWorker)
+{
+    KeptInstance fleet;
+    const BootTime begin = BootClock::now();
+    fleet.worker = "w1";
+    fleet.results = {OrderUnanswered{}};
+    fleet.keeper->addWave({1, {"m1"}, 500ms, 1}, begin - 10s);
+    fleet.keeper->advance(begin, *fleet.policy, true);
+    BOOST_REQUIRE(fleet.orders == 1);
+    // The order was carried out: the instance is back with its next worker, which has work.
+    fleet.runJobOn("w2", begin + 500ms);
+    BOOST_REQUIRE(fleet.starts == 1);
+    const BootTime repeated = BootClock::now() + 2s;
+    fleet.keeper->advance(repeated, *fleet.policy, true);
+    BOOST_REQUIRE(fleet.orders == 2);
+    for (int round = 0; round < 20; ++round) {
+        fleet.work(repeated + round * 10ms);
+    }
+    BOOST_TEST(fleet.starts == 1);
+    BOOST_TEST(fleet.scheduler.findWorker("w2")->runs().size() == 1U);
+}
