Name only the strongest nodes as successors

Ruled out: the partition of the jobs (it did not move), the store (two windows only). Change: nodes say with their calls how strong they are; of the strongest the one that was started last follows.

--- a/libs/jobnode/include/jobnode/jobcall.h
+++ b/libs/jobnode/include/jobnode/jobcall.h
@@ -51,10 +51,12 @@
     std::int64_t deadlineMs = 0;
     /** Of an offer to ask the advice service. */
     AdviceReport advice;
+    /** Thousandths of a core that the node has which hands the call on. */
+    std::uint32_t nodeStrength = 0;
 
     auto fields()
     {
-        return std::tie(kind, queue, account, job, spec, deadlineMs, advice);
+        return std::tie(kind, queue, account, job, spec, deadlineMs, advice, nodeStrength);
     }
 };
 
--- a/libs/jobnode/include/jobnode/reign.h
+++ b/libs/jobnode/include/jobnode/reign.h
@@ -58,7 +58,7 @@
     using Responder = std::function<void(JobAnswer answer)>;
 
     /** @p onDeposed is called once, when another owner is seen. */
-    Reign(ReignContext context, std::uint64_t epoch, Inheritance inheritance, std::function<void(std::string reason)> onDeposed);
+    Reign(const ReignContext &context, std::uint64_t epoch, Inheritance inheritance, std::function<void(std::string reason)> onDeposed);
     ~Reign();
 
     // Commands.
--- a/libs/jobnode/src/details/jobnodeimpl.h
+++ b/libs/jobnode/src/details/jobnodeimpl.h
@@ -11,6 +11,16 @@
 
 namespace Cornelquay {
 
+/** A node that handed on a call to the owner. */
+struct CallingNode {
+    std::string name;
+    /** Wall-clock milliseconds when its process began. */
+    std::uint64_t startedMs = 0;
+    /** Thousandths of a core. */
+    std::uint32_t strength = 0;
+    BootTime heardAt{};
+};
+
 struct JobNode::Impl : public std::enable_shared_from_this<JobNode::Impl> {
     Impl(asio::io_context &givenIo,
          JobNodeSettings givenSettings,
@@ -62,8 +72,8 @@
     BootTime predecessorHeardAt{};
     /** Workers that successors may take for silent. */
     std::map<WorkerId, std::int64_t> published;
-    /** Nodes that handed on calls to this owner: their latest lives, and when. */
-    std::map<std::string, std::pair<std::uint64_t, BootTime>> callingNodes;
+    /** Nodes that handed on calls to this owner. */
+    std::map<std::string, CallingNode> callingNodes;
     /** Of the reign that was ended last. */
     std::map<InstanceId, std::int64_t> recentOrders;
     /** The latest epoch of this life that is over. */
--- a/libs/jobnode/src/jobnode.cpp
+++ b/libs/jobnode/src/jobnode.cpp
@@ -44,7 +44,7 @@
                            reply(encode(answer));
                        };
                        if (self->reign) {
-                           self->callingNodes[from.name] = {from.number, BootClock::now()};
+                           self->callingNodes[from.name] = {from.name, from.number, call->nodeStrength, BootClock::now()};
                            self->reign->handle(*call, respond);
                        } else {
                            respond(JobAnswer::notRun("not the owner of the jobs", NotSentRetryAfterMs));
@@ -93,8 +93,10 @@
         return;
     }
     handedOnTotal.increment();
+    JobCall handed = call;
+    handed.nodeStrength = static_cast<std::uint32_t>(settings.cpuShare * 1000);
     mesh->ask(view.owner()->node,
-              encode(call),
+              encode(handed),
               std::chrono::milliseconds(leftMs),
               [self = shared_from_this(), respond](tl::expected<std::string, PeerFailure> reply) {
                   asio::post(self->io, [respond, reply = std::move(reply)] {
--- a/libs/jobnode/src/jobnodeownership.cpp
+++ b/libs/jobnode/src/jobnodeownership.cpp
@@ -296,20 +296,21 @@
     heartbeatIn(lost || (std::exchange(heartbeatWanted, false) && offset) ? 0ms : settings.ownership.heartbeat);
 }
 
-// Nodes are restarted one after the other: the one that was started last is not the next.
+// Of the strongest nodes, as the owner carries all work. Nodes are restarted one after the other, so of those the
+// one that was started last is not the next.
 std::string JobNode::Impl::chooseSuccessor() const
 {
     const BootTime now = BootClock::now();
-    std::string chosen;
-    std::uint64_t latest = 0;
-    for (const auto &[name, call] : callingNodes) {
-        const auto &[startedMs, at] = call;
-        if (now - at < SuccessorHeardWithin && startedMs > latest && name != settings.name) {
-            chosen = name;
-            latest = startedMs;
+    const CallingNode *chosen = nullptr;
+    for (const auto &[name, node] : callingNodes) {
+        if (now - node.heardAt >= SuccessorHeardWithin || name == settings.name) {
+            continue;
+        }
+        if (chosen == nullptr || std::tuple(node.strength, node.startedMs) > std::tuple(chosen->strength, chosen->startedMs)) {
+            chosen = &node;
         }
     }
-    return chosen;
+    return chosen == nullptr ? std::string() : chosen->name;
 }
 
 // A heartbeat that was under way may have moved the end of the log.
--- a/libs/jobnode/src/reigncalls.cpp
+++ b/libs/jobnode/src/reigncalls.cpp
@@ -133,7 +133,7 @@
     answers.push_back({batch, std::move(answer), expiresMs, call.job, std::move(respond)});
 }
 
-Reign::Reign(ReignContext context, std::uint64_t epoch, Inheritance inheritance, std::function<void(std::string reason)> onDeposed)
+Reign::Reign(const ReignContext &context, std::uint64_t epoch, Inheritance inheritance, std::function<void(std::string reason)> onDeposed)
     : m_impl(std::make_shared<Impl>(context, epoch, std::move(inheritance), std::move(onDeposed)))
 {
 }
--- a/libs/jobnode/tests/jobnodetest.cpp
+++ b/libs/jobnode/tests/jobnodetest.cpp
@@ -317,9 +317,10 @@
         io.poll();
     }
 
-    void add(std::size_t number)
+    void add(std::size_t number, double cpuShare = 1.0)
     {
         JobNodeSettings settings;
+        settings.cpuShare = cpuShare;
         settings.name = "node-" + std::to_string(number);
         settings.peerAddress = {"127.0.0.1", 0};
         settings.peerSecret = "secret of this test";
@@ -483,6 +484,9 @@
     fleet.io.run_for(5ms);
     fleet.add(3);
     JobNode &last = *fleet.nodes.back();
+    fleet.io.run_for(5ms);
+    // Started later still, but too weak to carry all work if others can.
+    fleet.add(4, 0.1);
     for (const auto &node : fleet.nodes) {
         fleet.callUntil(*node, JobCallKind::Submit, "0000000000000001", JobAnswerKind::Done);
     }
