Give free instances, tickets and objectives one piece of code each; split two long test files

Two loops of the pool plan gave free instances, three places judged a ticket, the formula of a job's objective stood in the outlook and in the advice, a calling node kept its name beside its key, and notePace() took a time that it did not use. jobnodetest.cpp (788 lines) and fleetsimulation.cpp (575) held a harness and several matters each; three simulated orders began with the same checks, three tests with the same loop. Change: giveFree(), usableTicket(), objectiveAfter(); nodefleet.h, ownershipviewtest.cpp, partitiontest.cpp and fleetsimulationworkers.cpp. Every assertion is kept. Ruled out: one function for the takeover's and the move's fence and pages (they differ in what a failure leads to).

--- a/libs/jobnode/src/details/jobnodeimpl.h
+++ b/libs/jobnode/src/details/jobnodeimpl.h
@@ -13,7 +13,6 @@
 
 /** A node that handed on a call to the owner. */
 struct CallingNode {
-    std::string name;
     /** Wall-clock milliseconds when its process began. */
     std::uint64_t startedMs = 0;
     /** Thousandths of a core. */
@@ -72,7 +71,7 @@
     BootTime predecessorHeardAt{};
     /** Workers that successors may take for silent. */
     std::map<WorkerId, std::int64_t> published;
-    /** Nodes that handed on calls to this owner. */
+    /** Nodes that handed on calls to this owner, by name. */
     std::map<std::string, CallingNode> callingNodes;
     /** Of the reign that was ended last. */
     std::map<InstanceId, std::int64_t> recentOrders;
--- a/libs/jobnode/src/jobnode.cpp
+++ b/libs/jobnode/src/jobnode.cpp
@@ -44,7 +44,7 @@
                            reply(encode(answer));
                        };
                        if (self->reign) {
-                           self->callingNodes[from.name] = {from.name, from.number, call->nodeStrength, BootClock::now()};
+                           self->callingNodes[from.name] = {from.number, call->nodeStrength, BootClock::now()};
                            self->reign->handle(*call, respond);
                        } else {
                            respond(JobAnswer::notRun("not the owner of the jobs", NotSentRetryAfterMs));
--- a/libs/jobnode/src/jobnodeownership.cpp
+++ b/libs/jobnode/src/jobnodeownership.cpp
@@ -301,16 +301,19 @@
 std::string JobNode::Impl::chooseSuccessor() const
 {
     const BootTime now = BootClock::now();
-    const CallingNode *chosen = nullptr;
+    std::string chosen;
+    std::tuple<std::uint32_t, std::uint64_t> best;
     for (const auto &[name, node] : callingNodes) {
         if (now - node.heardAt >= SuccessorHeardWithin || name == settings.name) {
             continue;
         }
-        if (chosen == nullptr || std::tuple(node.strength, node.startedMs) > std::tuple(chosen->strength, chosen->startedMs)) {
-            chosen = &node;
+        const std::tuple rank(node.strength, node.startedMs);
+        if (chosen.empty() || rank > best) {
+            chosen = name;
+            best = rank;
         }
     }
-    return chosen == nullptr ? std::string() : chosen->name;
+    return chosen;
 }
 
 // A heartbeat that was under way may have moved the end of the log.
--- a/libs/jobnode/src/reignwork.cpp
+++ b/libs/jobnode/src/reignwork.cpp
@@ -130,7 +130,7 @@
     if (const WorkerSession *worker = scheduler.findWorker(order.worker)) {
         context.workers.pace(worker->facts(), order, [self = shared_from_this(), order](const OrderResult &result) {
             if (!self->ended) {
-                self->scheduler.notePace(order, result, BootClock::now());
+                self->scheduler.notePace(order, result);
             }
         });
     }
--- /dev/null
+++ b/libs/jobnode/tests/nodefleet.h
@@ -0,0 +1,416 @@
+#pragma once
+
+#include "jobnode/jobnode.h"
+
+#include <asio.hpp>
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Cornelquay::Testing {
+
+using namespace std::chrono_literals;
+
+/** A store and workers in memory, shared by the nodes of a test. */
+struct SharedWorld {
+    explicit SharedWorld(asio::io_context &givenIo)
+        : io(givenIo)
+    {
+    }
+
+    asio::io_context &io;
+    std::vector<OwnershipRecord> ownership;
+    struct Partition {
+        std::map<std::string, std::string> jobs;
+        std::uint64_t epoch = 0;
+        std::uint64_t sequence = 0;
+        bool away = false;
+    };
+    std::array<Partition, 3> partitions;
+    bool away = false;
+    /** The next batches are stored, but their answers are lost. */
+    int lostAnswers = 0;
+    /** The next claims meet a record that came before. */
+    int conflicts = 0;
+    std::map<TaskName, std::uint32_t> running;
+    std::vector<ListedEnd> ended;
+    std::uint64_t token = 0;
+    int starts = 0;
+    int repeatedBatches = 0;
+    int questions = 0;
+    int questionsOut = 0;
+    int questionsAtOnce = 0;
+    int mostOfOneNode = 0;
+    /** Tasks end as soon as they have started. */
+    bool endsAtOnce = true;
+
+    template<typename Function>
+    void later(Function function, std::chrono::milliseconds delay = 1ms)
+    {
+        auto timer = std::make_shared<asio::steady_timer>(io, delay);
+        timer->async_wait([timer, function](const asio::error_code &) {
+            function();
+        });
+    }
+
+    StorePort store()
+    {
+        StorePort port;
+        port.newestOwnership = [this](const StorePort::OwnershipHandler &handler) {
+            later([this, handler] {
+                if (away) {
+                    handler(tl::make_unexpected(StoreFailure::Refused));
+                    return;
+                }
+                OwnershipPage page{ownership.size(), {}};
+                if (!ownership.empty()) {
+                    page.records.push_back(ownership.back());
+                }
+                handler(page);
+            });
+        };
+        port.followOwnership = [this](std::uint64_t from, std::chrono::milliseconds, const StorePort::OwnershipHandler &handler) {
+            later(
+                [this, from, handler] {
+                    if (away) {
+                        handler(tl::make_unexpected(StoreFailure::Refused));
+                        return;
+                    }
+                    OwnershipPage page{ownership.size(), {}};
+                    page.records.assign(ownership.begin() + static_cast<long>(std::min<std::size_t>(from, ownership.size())), ownership.end());
+                    handler(page);
+                },
+                10ms);
+        };
+        port.claimOwnership = [this](const OwnershipRecord &record, std::uint64_t at, std::chrono::milliseconds, const StorePort::OffsetHandler &handler) {
+            later([this, record, at, handler] {
+                if (away) {
+                    handler(tl::make_unexpected(StoreFailure::Refused));
+                } else if (conflicts > 0) {
+                    --conflicts;
+                    handler(tl::make_unexpected(StoreFailure::Conflict));
+                } else if (at != ownership.size()) {
+                    handler(tl::make_unexpected(StoreFailure::Conflict));
+                } else {
+                    ownership.push_back(record);
+                    handler(at);
+                }
+            });
+        };
+        port.partitions = static_cast<StorePartition>(partitions.size());
+        port.fenceJobs = [this](StorePartition number, std::uint64_t given, const StorePort::OffsetHandler &handler) {
+            later([this, &partition = partitions.at(number), given, handler] {
+                if (away || partition.away) {
+                    handler(tl::make_unexpected(StoreFailure::Refused));
+                } else if (given < partition.epoch) {
+                    handler(tl::make_unexpected(StoreFailure::Fenced));
+                } else {
+                    partition.epoch = given;
+                    partition.sequence = 0;
+                    handler(0);
+                }
+            });
+        };
+        port.storeJobs = [this](StorePartition number,
+                                std::uint64_t given,
+                                std::uint64_t sequence,
+                                const auto &records,
+                                const std::vector<JobId> &dropped,
+                                const StorePort::OffsetHandler &handler) {
+            later([this, &partition = partitions.at(number), given, sequence, records, dropped, handler] {
+                store(partition, given, sequence, records, dropped, handler);
+            });
+        };
+        port.readJobs = [this](StorePartition number, const std::string &, const StorePort::JobPageHandler &handler) {
+            later([this, &partition = partitions.at(number), handler] {
+                if (away || partition.away) {
+                    handler(tl::make_unexpected(StoreFailure::Refused));
+                } else {
+                    handler(JobPage{{partition.jobs.begin(), partition.jobs.end()}, {}});
+                }
+            });
+        };
+        return port;
+    }
+
+    void store(Partition &partition,
+               std::uint64_t given,
+               std::uint64_t sequence,
+               const std::vector<std::pair<JobId, std::string>> &records,
+               const std::vector<JobId> &dropped,
+               const StorePort::OffsetHandler &handler)
+    {
+        if (away || partition.away) {
+            handler(tl::make_unexpected(StoreFailure::Refused));
+            return;
+        }
+        if (given < partition.epoch) {
+            handler(tl::make_unexpected(StoreFailure::Fenced));
+            return;
+        }
+        if (sequence > partition.sequence + 1) {
+            handler(tl::make_unexpected(StoreFailure::Conflict));
+            return;
+        }
+        repeatedBatches += sequence <= partition.sequence ? 1 : 0;
+        partition.sequence = std::max(partition.sequence, sequence);
+        for (const auto &[key, bytes] : records) {
+            partition.jobs[key] = bytes;
+        }
+        for (const JobId &job : dropped) {
+            partition.jobs.erase(job);
+        }
+        if (lostAnswers > 0) {
+            --lostAnswers;
+            handler(tl::make_unexpected(StoreFailure::Unanswered));
+        } else {
+            handler(sequence);
+        }
+    }
+
+    WorkerPort workers()
+    {
+        WorkerPort port;
+        port.start = [this](const WorkerFacts &, const StartOrder &order, const std::string &, const WorkerPort::OrderHandler &handler) {
+            later([this, order, handler] {
+                if (order.fencingToken < token) {
+                    handler(OrderRefusal::Fenced);
+                    return;
+                }
+                ++starts;
+                if (endsAtOnce) {
+                    ended.push_back({ended.size() + 1, order.task, order.run, RunEnd::Done, ""});
+                } else {
+                    running[order.task] = order.run;
+                }
+                handler(OrderTaken{1000});
+            });
+        };
+        port.stop = [this](const WorkerFacts &, const StopOrder &order, const WorkerPort::OrderHandler &handler) {
+            later([this, order, handler] {
+                running.erase(order.task);
+                ended.push_back({ended.size() + 1, order.task, order.run, RunEnd::Stopped, ""});
+                handler(OrderTaken{1000});
+            });
+        };
+        port.hold = [this](const WorkerFacts &, const HoldOrder &order, const WorkerPort::HoldHandler &handler) {
+            later(
+                [this, order, handler] {
+                    if (order.fencingToken < token) {
+                        handler(OrderRefusal::Fenced);
+                        return;
+                    }
+                    token = order.fencingToken;
+                    Listing listing;
+                    listing.bornMs = 5;
+                    listing.clockMs = 1000;
+                    for (const auto &[task, run] : running) {
+                        listing.running.push_back({task, run, "", 50, 0});
+                    }
+                    for (const ListedEnd &end : ended) {
+                        if (end.number > order.acknowledgedEnd) {
+                            listing.ended.push_back(end);
+                        }
+                    }
+                    handler(std::move(listing));
+                },
+                5ms);
+        };
+        port.retain = [](const std::function<bool(const WorkerId &)> &) {};
+        port.advise = [this, asking = std::make_shared<int>(0)](const AdviceOrder &order, const WorkerPort::AdviceHandler &handler) {
+            ++questions;
+            questionsAtOnce = std::max(questionsAtOnce, ++questionsOut);
+            ++*asking;
+            mostOfOneNode = std::max(mostOfOneNode, *asking);
+            later(
+                [this, asking, order, handler] {
+                    --*asking;
+                    --questionsOut;
+                    std::vector<Permission> permissions;
+                    for (const WorkerId &worker : order.workers) {
+                        permissions.push_back({worker, "ticket"});
+                    }
+                    handler(permissions);
+                },
+                50ms);
+        };
+        return port;
+    }
+
+    RegistryPort registry()
+    {
+        RegistryPort port;
+        port.watch = [this](const RegistryPort::WorkersHandler &handler) {
+            WorkerFacts facts;
+            facts.id = "w1";
+            facts.bornMs = 5;
+            facts.pool = "pool";
+            facts.address = "127.0.0.1:1";
+            facts.capacity = {4000, 4000, 0};
+            later([handler, facts] {
+                handler({facts}, {});
+            });
+        };
+        port.stop = [] {};
+        return port;
+    }
+
+    static InstancePort instances()
+    {
+        InstancePort port;
+        port.list = [](const std::string &, const InstancePort::ListHandler &handler) {
+            handler(std::nullopt);
+        };
+        port.order = [](const InstanceOrder &, std::uint64_t, const InstancePort::OrderHandler &handler) {
+            handler(InstanceRefusal::Later);
+        };
+        port.reportWave = [](std::uint64_t, bool, const InstancePort::ReportHandler &handler) {
+            handler(true);
+        };
+        return port;
+    }
+};
+
+/** Some nodes over one world, on one thread. */
+struct Nodes {
+    explicit Nodes(std::size_t count)
+        : world(io)
+    {
+        auto policy = std::make_shared<FleetPolicy>();
+        policy->version = 1;
+        policy->queues["queue"].terms = {"pool", 0, 3, 2.0, 1000};
+        configuration = std::make_shared<NodeConfiguration>();
+        configuration->version = 1;
+        configuration->policy = policy;
+        for (std::size_t number = 0; number < count; ++number) {
+            add(number);
+        }
+    }
+
+    ~Nodes()
+    {
+        for (const auto &node : nodes) {
+            node->stop();
+        }
+        nodes.clear();
+        io.restart();
+        io.poll();
+    }
+
+    void add(std::size_t number, double cpuShare = 1.0)
+    {
+        JobNodeSettings settings;
+        settings.cpuShare = cpuShare;
+        settings.name = "node-" + std::to_string(number);
+        settings.peerAddress = {"127.0.0.1", 0};
+        settings.peerSecret = "secret of this test";
+        nodes.push_back(std::make_unique<JobNode>(io, settings, world.store(), world.workers(), world.registry(), SharedWorld::instances(), metrics));
+        nodes.back()->start();
+        nodes.back()->setConfiguration(configuration);
+    }
+
+    template<typename Condition>
+    void runUntil(Condition done)
+    {
+        const SteadyTime most = steadyNow() + 30s;
+        while (!done() && steadyNow() < most) {
+            io.restart();
+            io.run_one_for(50ms);
+        }
+        BOOST_REQUIRE(done());
+    }
+
+    JobNode &owner()
+    {
+        const auto findOwner = [this] {
+            return std::find_if(nodes.begin(), nodes.end(), [](const auto &node) {
+                return node->isOwner();
+            });
+        };
+        runUntil([&] {
+            return findOwner() != nodes.end();
+        });
+        return **findOwner();
+    }
+
+    JobNode &other()
+    {
+        const JobNode *owning = &owner();
+        const auto found = std::find_if(nodes.begin(), nodes.end(), [&](const auto &node) {
+            return node.get() != owning;
+        });
+        runUntil([&] {
+            return (*found)->knowsOwner();
+        });
+        return **found;
+    }
+
+    JobAnswer call(JobNode &node, JobCallKind kind, const std::string &job)
+    {
+        JobCall call;
+        call.kind = kind;
+        call.queue = "queue";
+        call.job = job;
+        call.deadlineMs = toUnixMilliseconds(wallNow()) + 4000;
+        StepSpec step;
+        step.count = 2;
+        step.demand = {500, 100, 0};
+        step.estimateMs = 100;
+        call.spec.steps = {step};
+        std::optional<JobAnswer> answer;
+        node.handle(call, [&](JobAnswer given) {
+            answer = std::move(given);
+        });
+        runUntil([&] {
+            return answer.has_value();
+        });
+        return *answer;
+    }
+
+    /** Asks until the answer is of @p kind; callers come again too. */
+    JobAnswer callUntil(JobNode &node, JobCallKind kind, const std::string &job, JobAnswerKind expected)
+    {
+        JobAnswer answer;
+        runUntil([&] {
+            answer = call(node, kind, job);
+            return answer.kind == expected;
+        });
+        return answer;
+    }
+
+    /** Hands in jobs until one is refused; gives its name and the answer. */
+    std::pair<std::string, JobAnswer> submitUntilRefused(JobNode &node)
+    {
+        std::string job;
+        JobAnswer answer;
+        int number = 10;
+        runUntil([&] {
+            job = "00000000000000" + std::to_string(number++);
+            answer = call(node, JobCallKind::Submit, job);
+            return answer.kind == JobAnswerKind::NotRun;
+        });
+        return {job, answer};
+    }
+
+    void awaitState(JobNode &node, const std::string &job, JobState state)
+    {
+        runUntil([&] {
+            const JobAnswer answer = call(node, JobCallKind::State, job);
+            return answer.kind == JobAnswerKind::State && answer.state == state;
+        });
+    }
+
+    asio::io_context io;
+    Metrics metrics;
+    SharedWorld world;
+    std::shared_ptr<NodeConfiguration> configuration;
+    std::vector<std::unique_ptr<JobNode>> nodes;
+};
+
+}
--- /dev/null
+++ b/libs/jobnode/tests/ownershipviewtest.cpp
@@ -0,0 +1,83 @@
+#include "jobnode/ownershipview.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace Cornelquay;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr BootTime Start{std::chrono::milliseconds(1000000)};
+
+OwnershipPage makePage(std::uint64_t end, std::vector<OwnershipRecord> records = {})
+{
+    return {end, std::move(records)};
+}
+
+OwnershipRecord makeOwner(const std::string &node, std::uint64_t epoch, bool released = false)
+{
+    OwnershipRecord record;
+    record.node = node;
+    record.epoch = epoch;
+    record.released = released;
+    return record;
+}
+
+}
+
+BOOST_AUTO_TEST_CASE(silenceCountsOnlyWhileTheStoreAnswers)
+{
+    const OwnershipTimes times;
+    OwnershipView view(times, 50ms, "self");
+    BOOST_TEST(!view.shouldClaim(Start));
+    view.notePage(makePage(1, {makeOwner("a", 1)}), Start);
+    view.notePage(makePage(1), Start + times.silence);
+    BOOST_TEST(!view.shouldClaim(Start + times.silence));
+    view.notePage(makePage(1), Start + times.silence + 60ms);
+    BOOST_TEST(view.shouldClaim(Start + times.silence + 60ms));
+    // After an outage the owner gets the whole time again.
+    view.noteFailure();
+    BOOST_TEST(!view.shouldClaim(Start + 10s));
+    view.notePage(makePage(1), Start + 10s);
+    BOOST_TEST(!view.shouldClaim(Start + 10s));
+    view.notePage(makePage(1), Start + 10s + times.silence + 60ms);
+    BOOST_TEST(view.shouldClaim(Start + 10s + times.silence + 60ms));
+}
+
+// A store that loses answers: each heartbeat comes after one whose answer was waited for in vain.
+BOOST_AUTO_TEST_CASE(lostAnswersAreNoSilence)
+{
+    const OwnershipTimes times;
+    BOOST_TEST((times.orderFreshness < times.silence));
+    OwnershipView view(times, 0ms, "self");
+    BootTime now = Start;
+    for (std::uint64_t offset = 1; offset < 20; ++offset, now += times.answer + times.heartbeat) {
+        BOOST_TEST(!view.shouldClaim(now));
+        view.notePage(makePage(offset, {makeOwner("a", 1)}), now);
+        view.notePage(makePage(offset), now + times.answer);
+        BOOST_TEST(!view.shouldClaim(now + times.answer));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(aReleasedOwnershipIsClaimedAtOnce)
+{
+    OwnershipView view(OwnershipTimes{}, 50ms, "self");
+    view.notePage(makePage(2, {makeOwner("a", 1), makeOwner("a", 1, true)}), Start);
+    BOOST_TEST(!view.shouldClaim(Start + 40ms));
+    BOOST_TEST(view.shouldClaim(Start + 60ms));
+    BOOST_TEST(view.end() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(theNodeThatIsNamedFollowsFirst)
+{
+    OwnershipRecord released = makeOwner("a", 1, true);
+    released.successor = "self";
+    OwnershipView named(OwnershipTimes{}, 50ms, "self");
+    named.notePage(makePage(1, {released}), Start);
+    BOOST_TEST(named.shouldClaim(Start));
+    OwnershipView other(OwnershipTimes{}, 50ms, "other");
+    other.notePage(makePage(1, {released}), Start);
+    BOOST_TEST(!other.shouldClaim(Start + 200ms));
+    // The named node may be gone itself.
+    BOOST_TEST(other.shouldClaim(Start + 500ms));
+}
--- a/libs/scheduling/include/scheduling/joborder.h
+++ b/libs/scheduling/include/scheduling/joborder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jobs/job.h"
 #include "timing/instant.h"
 
 #include <cstdint>
@@ -51,6 +52,9 @@
     double workLeft = 0;
 };
 
+/** How long a job whose longest chain of work is @p chain may take by its queue's terms. */
+std::chrono::milliseconds objectiveAfter(const QueueTerms &terms, std::chrono::milliseconds chain);
+
 /** Value of a job against the work that it still needs; larger is better. */
 double valueDensity(const JobOutlook &outlook);
 
--- a/libs/scheduling/include/scheduling/poolplan.h
+++ b/libs/scheduling/include/scheduling/poolplan.h
@@ -2,6 +2,7 @@
 
 #include "scheduling/instances.h"
 
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -80,6 +81,12 @@
     void observe(const std::map<InstanceId, InstanceView> &instances, const std::map<std::string, PoolDemand> &pools, BootTime now);
     std::map<std::string, Balance>
     weigh(const std::map<InstanceId, InstanceView> &instances, const std::map<std::string, PoolDemand> &pools, BootTime now) const;
+    /** Moves at most @p most of the free instances that are wanted to @p pool; gives their number. */
+    std::size_t giveFree(const std::string &pool,
+                         std::size_t most,
+                         std::vector<const InstanceView *> &free,
+                         PoolDecision &decision,
+                         const std::function<bool(const InstanceView &view)> &isWanted) const;
     /** Moves free instances with the labels that @p pool waits for; gives their number. */
     std::size_t giveLabelled(const std::string &pool, const Balance &balance, std::vector<const InstanceView *> &free, PoolDecision &decision) const;
     bool isSettled(const InstanceId &instance, BootTime now) const;
--- a/libs/scheduling/include/scheduling/scheduler.h
+++ b/libs/scheduling/include/scheduling/scheduler.h
@@ -163,7 +163,7 @@
     void noteHold(const HoldOrder &order, BootTime sentAt, const HoldResult &result, BootTime now, std::int64_t wallMs);
     void noteStart(const StartOrder &order, const OrderResult &result, BootTime now, std::int64_t wallMs);
     void noteStop(const StopOrder &order, const OrderResult &result, BootTime now);
-    void notePace(const PaceOrder &order, const OrderResult &result, BootTime now);
+    void notePace(const PaceOrder &order, const OrderResult &result);
     void noteAdvice(const AdviceOrder &order, const AdviceResult &result, BootTime now);
     /** Calls of the advice service that may be out at once. */
     void setAdviceSlots(std::size_t slots);
--- a/libs/scheduling/src/details/schedulerimpl.h
+++ b/libs/scheduling/src/details/schedulerimpl.h
@@ -43,6 +43,12 @@
         BootTime usableUntil{};
     };
     std::map<WorkerId, Ticket> good;
+    /** The ticket for @p worker, or null if there is none that can be used. */
+    const Ticket *usableTicket(const WorkerId &worker, BootTime now) const
+    {
+        const auto ticket = good.find(worker);
+        return ticket != good.end() && now < ticket->second.usableUntil ? &ticket->second : nullptr;
+    }
     std::set<WorkerId> refused;
     bool inFlight = false;
     BootTime askAgainAt{};
--- a/libs/scheduling/src/joborder.cpp
+++ b/libs/scheduling/src/joborder.cpp
@@ -13,6 +13,11 @@
 
 }
 
+std::chrono::milliseconds objectiveAfter(const QueueTerms &terms, std::chrono::milliseconds chain)
+{
+    return std::chrono::milliseconds(static_cast<std::int64_t>(terms.stretch * static_cast<double>(chain.count())) + terms.slackMs);
+}
+
 double valueDensity(const JobOutlook &outlook)
 {
     return (BaseWork + outlook.workAll) / std::max(LeastWork, outlook.workLeft);
--- a/libs/scheduling/src/poolplan.cpp
+++ b/libs/scheduling/src/poolplan.cpp
@@ -145,6 +145,25 @@
     return balances;
 }
 
+std::size_t PoolPlan::giveFree(const std::string &pool,
+                               std::size_t most,
+                               std::vector<const InstanceView *> &free,
+                               PoolDecision &decision,
+                               const std::function<bool(const InstanceView &view)> &isWanted) const
+{
+    std::size_t given = 0;
+    for (auto view = free.begin(); view != free.end() && given < most && decision.moves.size() < MovesAtOnce;) {
+        if (!isWanted(**view) || !mayMove(**view, pool)) {
+            ++view;
+            continue;
+        }
+        decision.moves.push_back({(*view)->facts.id, pool});
+        view = free.erase(view);
+        ++given;
+    }
+    return given;
+}
+
 // Work that needs a label waits until such an instance is there, however many others are.
 std::size_t PoolPlan::giveLabelled(const std::string &pool, const Balance &balance, std::vector<const InstanceView *> &free, PoolDecision &decision) const
 {
@@ -153,17 +172,9 @@
         const auto coming = static_cast<std::size_t>(std::count_if(balance.coming.begin(), balance.coming.end(), [&label = label](const InstanceView *view) {
             return hasLabel(*view, label);
         }));
-        std::size_t missing = wanted - std::min(wanted, coming);
-        for (auto view = free.begin(); view != free.end() && missing > 0 && decision.moves.size() < MovesAtOnce;) {
-            if ((*view)->facts.pool == pool || !hasLabel(**view, label) || !mayMove(**view, pool)) {
-                ++view;
-                continue;
-            }
-            decision.moves.push_back({(*view)->facts.id, pool});
-            view = free.erase(view);
-            --missing;
-            ++given;
-        }
+        given += giveFree(pool, wanted - std::min(wanted, coming), free, decision, [&pool, &label = label](const InstanceView &view) {
+            return view.facts.pool != pool && hasLabel(view, label);
+        });
     }
     return given;
 }
@@ -201,15 +212,9 @@
     for (const auto &[pool, balance] : balances) {
         std::size_t missing = pool == standby ? 0 : balance.want - std::min(balance.have, balance.want);
         missing -= std::min(missing, giveLabelled(pool, balance, free, decision));
-        for (auto view = free.begin(); view != free.end() && missing > 0 && decision.moves.size() < MovesAtOnce;) {
-            if (!mayMove(**view, pool)) {
-                ++view;
-                continue;
-            }
-            decision.moves.push_back({(*view)->facts.id, pool});
-            view = free.erase(view);
-            --missing;
-        }
+        missing -= giveFree(pool, missing, free, decision, [](const InstanceView &) {
+            return true;
+        });
         lacking += missing;
     }
     for (auto &[pool, balance] : balances) {
--- a/libs/scheduling/src/scheduler.cpp
+++ b/libs/scheduling/src/scheduler.cpp
@@ -83,9 +83,7 @@
         }
         entry.lasting = entry.lasting || spec.steps[step].lasting;
     }
-    const QueueTerms &terms = entry.job.record().terms;
-    outlook.objective
-        = outlook.receivedAt + std::chrono::milliseconds(static_cast<std::int64_t>(terms.stretch * static_cast<double>(chainAll)) + terms.slackMs);
+    outlook.objective = outlook.receivedAt + objectiveAfter(entry.job.record().terms, std::chrono::milliseconds(chainAll));
 }
 
 void Scheduler::Impl::noteArrival(const JobEntry &entry, BootTime now)
--- a/libs/scheduling/src/scheduleradvice.cpp
+++ b/libs/scheduling/src/scheduleradvice.cpp
@@ -47,20 +47,16 @@
     std::vector<WorkerId> full;
     for (const PlacementCandidate *candidate : room.open) {
         const WorkerId &worker = candidate->session->facts().id;
-        const auto ticket = known.good.find(worker);
-        const bool usable = ticket != known.good.end() && now < ticket->second.usableUntil;
-        if (!usable && known.refused.count(worker) == 0) {
-            (demand.fitsInto(candidate->session->room()) ? withRoom : full).push_back(worker);
+        const bool hasRoom = demand.fitsInto(candidate->session->room());
+        if (known.usableTicket(worker, now) != nullptr) {
+            // While a permitted worker has room nobody else needs to be asked about.
+            if (hasRoom) {
+                return {};
+            }
+        } else if (known.refused.count(worker) == 0) {
+            (hasRoom ? withRoom : full).push_back(worker);
         }
     }
-    // While a permitted worker has room nobody else needs to be asked about.
-    const bool served = std::any_of(room.open.begin(), room.open.end(), [&](const PlacementCandidate *candidate) {
-        const auto ticket = known.good.find(candidate->session->facts().id);
-        return ticket != known.good.end() && now < ticket->second.usableUntil && demand.fitsInto(candidate->session->room());
-    });
-    if (served) {
-        return {};
-    }
     // The first question is about all; after it the service is not troubled at once for the few that came since.
     const bool asked = !known.refused.empty() || !known.good.empty();
     if (asked && withRoom.size() < FollowUpWorkersLeast && now < known.askFewAt) {
@@ -139,8 +135,7 @@
     const std::chrono::milliseconds behind = question * static_cast<int>(m_impl->questionsLeft()) / static_cast<int>(m_impl->adviceSlots);
     const std::vector<std::int64_t> chains = chainsFrom(record.spec, m_impl->expectedRunMs(record));
     const std::chrono::milliseconds chain(*std::max_element(chains.begin(), chains.end()));
-    const auto objective = static_cast<std::int64_t>(record.terms.stretch * static_cast<double>(chain.count())) + record.terms.slackMs;
-    const std::chrono::milliseconds useful = std::chrono::milliseconds(objective) * UsefulFactor - chain;
+    const std::chrono::milliseconds useful = objectiveAfter(record.terms, chain) * UsefulFactor - chain;
     if (behind <= useful) {
         return std::nullopt;
     }
--- a/libs/scheduling/src/schedulerplacing.cpp
+++ b/libs/scheduling/src/schedulerplacing.cpp
@@ -129,8 +129,7 @@
     }
     std::vector<PlacementCandidate *> permitted;
     for (PlacementCandidate *candidate : room.open) {
-        const auto ticket = permissions->good.find(candidate->session->facts().id);
-        if (ticket != permissions->good.end() && now < ticket->second.usableUntil) {
+        if (permissions->usableTicket(candidate->session->facts().id, now) != nullptr) {
             permitted.push_back(candidate);
         }
     }
--- a/libs/scheduling/src/schedulerresults.cpp
+++ b/libs/scheduling/src/schedulerresults.cpp
@@ -360,7 +360,7 @@
     found->second.hasten(now);
 }
 
-void Scheduler::notePace(const PaceOrder &order, const OrderResult &result, BootTime now)
+void Scheduler::notePace(const PaceOrder &order, const OrderResult &result)
 {
     const auto found = m_impl->workers.find(order.worker);
     if (found == m_impl->workers.end()) {
@@ -371,7 +371,6 @@
         // Whether it took effect is not known; the next decision orders it again.
         live->second.pace = -1;
     }
-    (void)now;
 }
 
 }
--- a/libs/scheduling/tests/fleetsimulation.h
+++ b/libs/scheduling/tests/fleetsimulation.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -48,6 +49,10 @@
     std::size_t starts() const;
 
 private:
+    static constexpr std::chrono::milliseconds LeaseMost{6000};
+    static constexpr Resources WorkerCapacity{4000, 4000, 0};
+    static constexpr Resources AccountCap{9000, 0, 0};
+
     struct SimulatedRun {
         std::uint32_t run = 0;
         BootTime endsAt{};
@@ -100,6 +105,9 @@
     void lateInLife(const SimulatedWorker &worker, std::function<void()> action);
     void sendHold(const HoldOrder &order);
     void sendStop(const StopOrder &order);
+    /** What a worker answers that is down or has seen a higher token; nothing if it takes the order. */
+    template<typename Result>
+    std::optional<Result> refuse(SimulatedWorker &worker, std::uint64_t token);
     OrderResult start(SimulatedWorker &worker, const StartOrder &order);
     OrderResult stop(SimulatedWorker &worker, const StopOrder &order);
     HoldResult hold(SimulatedWorker &worker, const HoldOrder &order);
--- a/libs/scheduling/tests/scriptedfleet.cpp
+++ b/libs/scheduling/tests/scriptedfleet.cpp
@@ -84,7 +84,7 @@
         scheduler.noteStop(*stop, OrderTaken{ClockMs}, now);
     } else if (const PaceOrder *pace = std::get_if<PaceOrder>(&order)) {
         paces.push_back(*pace);
-        scheduler.notePace(*pace, OrderTaken{ClockMs}, now);
+        scheduler.notePace(*pace, OrderTaken{ClockMs});
     } else if (const AdviceOrder *question = std::get_if<AdviceOrder>(&order)) {
         questions.push_back(*question);
     } else if (const HoldOrder *hold = std::get_if<HoldOrder>(&order)) {
