--- a/libs/httpio/include/httpio/httpclient.h
+++ b/libs/httpio/include/httpio/httpclient.h
@@ -31,6 +31,11 @@
 struct HttpCall {
     HttpRequest request;
     SteadyTime deadline;
+    /**
+     * Checked immediately before the request is written, however long the call has waited for a connection. If it returns
+     * false, the call fails with CallFailure::NotSent. Null if the request may always be sent. Must not use the client.
+     */
+    std::function<bool()> maySend = nullptr;
 };
 
 /**
@@ -38,9 +43,9 @@
  * further calls wait in a queue; one whose deadline passes there fails with CallFailure::NotSent. Only
  * the deadline of the first call in the queue is timed: a call behind it with an earlier one may fail late.
  *
- * A connection serves one call at a time and is closed when its call fails, so that a late response
- * is not taken for the response to the next call. Responses are limited to 16 KiB of headers and
- * 8 MiB of body; a larger or malformed one fails the call with CallFailure::NoAnswer.
+ * A connection serves one call at a time and is reset when its call gets no answer, so that a late response
+ * is not taken for the response to the next call, and bytes that have not left this machine never reach the server. Responses are limited to 16 KiB of headers
+ * and 8 MiB of body; a larger or malformed one fails the call with CallFailure::NoAnswer.
  *
  * Not thread-safe: used on the thread of its io_context only, on which handlers run too. A handler
  * runs once, never inside call(). When the client is destroyed, pending calls are dropped without
--- a/libs/httpio/src/httpclient.cpp
+++ b/libs/httpio/src/httpclient.cpp
@@ -97,11 +97,15 @@
         }
     }
 
+    /** Closes the connection; resets it if a call is unanswered, so that the rest of its request is discarded. */
     void close()
     {
         m_closed = true;
         m_timer.cancel();
         asio::error_code ignored;
+        if (m_hasCall && m_writeStarted) {
+            m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        }
         m_socket.close(ignored);
     }
 
@@ -142,6 +146,15 @@
         if (!client) {
             return;
         }
+        if (m_call.call.maySend && !m_call.call.maySend()) {
+            // Deferred, because a handler must not run inside HttpClient::call().
+            asio::post(client->io, [self = shared_from_this(), number = m_callNumber] {
+                if (self->m_hasCall && number == self->m_callNumber) {
+                    self->withdraw();
+                }
+            });
+            return;
+        }
         m_outgoing = Details::serialize(m_call.call.request, client->address);
         m_writeStarted = true;
         asio::async_write(m_socket, asio::buffer(m_outgoing), [self = shared_from_this()](const asio::error_code &error, std::size_t) {
@@ -200,6 +213,23 @@
         }
     }
 
+    /** Ends a call whose request must not be sent anymore; the connection stays usable. */
+    void withdraw()
+    {
+        m_hasCall = false;
+        m_timer.cancel();
+        HttpClient::Handler handler = std::move(m_call.handler);
+        m_call = {};
+        const auto client = m_client.lock();
+        if (client) {
+            client->idleConnections.push_back(shared_from_this());
+        }
+        handler(tl::make_unexpected(CallFailure::NotSent));
+        if (client) {
+            client->startQueuedCalls();
+        }
+    }
+
     void fail()
     {
         if (m_closed) {
@@ -260,7 +290,7 @@
     while (!closed && !queue.empty() && (!idleConnections.empty() || openConnections.size() < maxConnections)) {
         PendingCall next = std::move(queue.front());
         queue.pop_front();
-        if (next.call.deadline <= steadyNow()) {
+        if (next.call.deadline <= steadyNow() || (next.call.maySend && !next.call.maySend())) {
             next.handler(tl::make_unexpected(CallFailure::NotSent));
             continue;
         }
--- a/libs/httpio/tests/httpiotest.cpp
+++ b/libs/httpio/tests/httpiotest.cpp
@@ -166,6 +166,76 @@
     BOOST_TEST((failures[1] == CallFailure::NoAnswer));
 }
 
+// The permission to send ends while the call waits for the only connection.
+BOOST_AUTO_TEST_CASE(aQueuedCallIsNotSentOnceItMayNotBe)
+{
+    asio::io_context io;
+    std::vector<std::string> received;
+    HttpServer::Responder respondFirst;
+    HttpServer server(io, AnyPort, {}, [&](const HttpRequest &request, const HttpServer::Responder &respond) {
+        received.push_back(request.target);
+        if (received.size() == 1) {
+            respondFirst = respond;
+        } else {
+            respond({200, "", {}});
+        }
+    });
+    HttpClient client(io, {"127.0.0.1", server.port()}, 1);
+    bool maySend = true;
+    std::map<std::string, CallResult> results;
+    for (const std::string target : {"/first", "/withdrawn", "/allowed"}) {
+        HttpCall call{makeRequest(target), steadyNow() + 10s};
+        if (target == "/withdrawn") {
+            call.maySend = [&] {
+                return maySend;
+            };
+        }
+        client.call(std::move(call), [&, target](const CallResult &result) {
+            results.emplace(target, result);
+        });
+    }
+    runUntil(io, [&] {
+        return respondFirst != nullptr;
+    });
+    maySend = false;
+    respondFirst({200, "", {}});
+    runUntil(io, [&] {
+        return results.size() == 3;
+    });
+    BOOST_TEST((results.at("/withdrawn").error() == CallFailure::NotSent));
+    BOOST_TEST(results.at("/allowed").has_value());
+    BOOST_TEST((received == std::vector<std::string>{"/first", "/allowed"}));
+}
+
+// Whether a call may be sent is checked after the connection is established, not when the call is made.
+BOOST_AUTO_TEST_CASE(aCallIsNotSentOnANewConnectionOnceItMayNotBe)
+{
+    asio::io_context io;
+    int received = 0;
+    HttpServer server(io, AnyPort, {}, [&](const HttpRequest &, const HttpServer::Responder &respond) {
+        ++received;
+        respond({200, "", {}});
+    });
+    HttpClient client(io, {"127.0.0.1", server.port()}, 1);
+    bool maySend = true;
+    std::optional<CallResult> result;
+    HttpCall call{makeRequest("/"), steadyNow() + 10s};
+    call.maySend = [&] {
+        return maySend;
+    };
+    client.call(std::move(call), [&](const CallResult &callResult) {
+        result = callResult;
+    });
+    maySend = false;
+    runUntil(io, [&] {
+        return result.has_value();
+    });
+    BOOST_TEST((result->error() == CallFailure::NotSent));
+    // The connection stays usable.
+    BOOST_TEST(callAndWait(io, client, makeRequest("/")).has_value());
+    BOOST_TEST(received == 1);
+}
+
 BOOST_AUTO_TEST_CASE(connectionsClosedByTheServerAreNotReused)
 {
     asio::io_context io;
--- a/libs/jobnode/include/jobnode/fleetcontroller.h
+++ b/libs/jobnode/include/jobnode/fleetcontroller.h
@@ -20,19 +20,23 @@
     WaveTimes waves;
     /** Minimum time between the orders that two successive owners give for one instance. */
     std::chrono::milliseconds handOverDelay{3200};
+    /** An order without an answer in this time counts as unanswered; its connection is reset, so that it arrives by then or never. */
+    std::chrono::milliseconds orderTimeout{1000};
 };
 
 /**
- * When a new owner may give its first order for each instance, so that it follows the predecessor's latest order by at least
- * InstanceTimes::handOverDelay.
+ * What a new owner knows of the orders that its predecessor gave for instances. Its own first order for an instance follows
+ * the predecessor's latest one by at least InstanceTimes::handOverDelay.
  */
 struct InstanceHandOver {
     /** Whether blockedUntil has all instances for which the predecessor gave recent orders. */
     bool isComplete = false;
+    /** The predecessor has ended, so that none of its orders is still under way. */
+    bool predecessorEnded = false;
     /** Instances for which the predecessor gave recent orders, and until when no order may follow. */
     std::map<InstanceId, BootTime> blockedUntil;
-    /** Until when no order may follow for other instances, unless isComplete or their worker was started long ago. */
-    BootTime unlistedBlockedUntil{};
+    /** For how long after the fence a predecessor that has not ended may send orders. */
+    std::chrono::milliseconds predecessorPermission{0};
 };
 
 /**
@@ -42,18 +46,30 @@
 class FleetController : public std::enable_shared_from_this<FleetController>
 {
 public:
-    FleetController(InstancePort &port, Scheduler &scheduler, InstanceTimes times, std::uint64_t epoch, InstanceHandOver handOver, Metrics &metrics);
+    /** @p mayOrder tells whether the owner may give orders and reports; it is also checked when they are sent. */
+    FleetController(InstancePort &port,
+                    Scheduler &scheduler,
+                    InstanceTimes times,
+                    std::uint64_t epoch,
+                    InstanceHandOver handOver,
+                    SendCondition mayOrder,
+                    Metrics &metrics);
 
     // Commands.
     /** Starts a wave that was first seen at @p seenAt; ignored if the wave is known. */
     void addWave(const WaveSpec &spec, BootTime seenAt);
     /** Restores the stored state of a wave; must be called before addWave() for that wave. */
     void restore(const WaveRecord &record);
-    /** Reads the list of instances and makes decisions, each at its own interval; decides and gives orders only if @p mayAct. */
-    void advance(BootTime now, const FleetPolicy &policy, bool mayAct);
+    /** The predecessor was fenced at @p fencedAt; must be called before advance(). */
+    void notePredecessorFenced(BootTime fencedAt);
+    /** Reads the list of instances and makes decisions, each at its own interval; decides only while orders may be given. */
+    void advance(BootTime now, const FleetPolicy &policy);
     /** Ends all activity; answers that arrive later are ignored. */
     void end();
-    /** Instances for which an order was given within InstanceTimes::handOverDelay, and how long ago, in milliseconds. */
+    /**
+     * Instances for which an order was under way within InstanceTimes::handOverDelay, and how long ago, in milliseconds;
+     * negative if it may still arrive, by the time until when it may.
+     */
     std::map<InstanceId, std::int64_t> recentOrders() const;
     /** Returns the records of waves that changed since the last call, for storing. */
     std::vector<WaveRecord> takeChanged();
@@ -76,6 +92,9 @@
     const InstanceTimes m_times;
     const std::uint64_t m_epoch;
     const InstanceHandOver m_handOver;
+    const SendCondition m_mayOrder;
+    /** From when on no order of the predecessor is under way anymore. */
+    BootTime m_predecessorOrdersEndAt{};
     Counter m_movesTotal;
     Counter m_maintenanceTotal;
     PoolPlan m_pools;
@@ -97,13 +116,17 @@
     std::map<InstanceId, BootTime> m_orderedAt;
     /** Target pools of moves that the list may not show yet. */
     std::map<InstanceId, std::string> m_movingTo;
-    /** When the latest order for each instance was sent, whether it was accepted or not. */
-    std::map<InstanceId, BootTime> m_orderSentAt;
+    /** When the latest order for each instance was given or its result arrived, whether it was accepted or not. */
+    std::map<InstanceId, BootTime> m_orderUnderWayAt;
     /** Instances with an order that is not answered yet. */
     std::set<InstanceId> m_inFlight;
     /** Workers that get no new work, according to the decision in progress or else the latest one. */
     std::vector<WorkerId> m_cordoned;
     BootTime m_listedAt{};
+    /** When the read of the list in m_instances began. */
+    BootTime m_listBegunAt{};
+    /** When the read of the list in m_nextInstances began. */
+    BootTime m_nextListBegunAt{};
     BootTime m_decidedAt{};
     bool m_listInFlight = false;
     bool m_ended = false;
--- a/libs/jobnode/include/jobnode/ownershipview.h
+++ b/libs/jobnode/include/jobnode/ownershipview.h
@@ -24,10 +24,18 @@
      * ownerTimeout, so that an owner that cannot reach the store stops before another node takes over.
      */
     std::chrono::milliseconds maxContactAgeForOrders{850};
+    /**
+     * As maxContactAgeForOrders, for orders for instances. Shorter, because a successor has no fencing token that makes the
+     * control plane refuse late orders, and so waits for this time and InstanceTimes::orderTimeout after its fence.
+     */
+    std::chrono::milliseconds maxContactAgeForInstances{600};
     /** As maxContactAgeForOrders, for the extension of leases. Longer, so that runs survive an outage of the store. */
     std::chrono::milliseconds maxContactAgeForLeases{3500};
 };
 
+/** How long the node @p name with @p cpuShare cores delays a claim, so that stronger nodes claim first and others differ. */
+std::chrono::milliseconds claimDelay(double cpuShare, const std::string &name);
+
 /**
  * One node's view of the ownership of the jobs, as read from the ownership log.
  *
@@ -41,7 +49,7 @@
     OwnershipView(OwnershipTimes times, std::chrono::milliseconds claimDelay, std::string self);
 
     // Commands.
-    /** Applies a page that was read from the ownership log, with or without records. */
+    /** Applies a page that was read from the ownership log, with or without records; ignored if a later page was applied before. */
     void notePage(const OwnershipPage &page, BootTime now);
     /** Records that a read of the ownership log failed. */
     void noteFailure();
@@ -57,6 +65,11 @@
     BootTime lastRecordAt() const;
     /** Whether this node should try to take over the ownership. */
     bool shouldClaim(BootTime now) const;
+    /**
+     * How long the next read of the ownership log should wait for a record: until this node's claim would be due if the owner
+     * stays silent, within bounds. Nodes whose claims are due at different times then do not claim at the same time.
+     */
+    std::chrono::milliseconds readWait(BootTime now) const;
 
 private:
     OwnershipTimes m_times;
--- a/libs/jobnode/include/jobnode/ports.h
+++ b/libs/jobnode/include/jobnode/ports.h
@@ -33,6 +33,12 @@
 
 std::string_view toName(StoreFailure failure);
 
+/**
+ * Whether an order may still be sent. The port checks it when it writes the order to a connection, not when it is given the
+ * order; an order that may not be sent anymore is dropped, with a result that says that it was not sent. Never null.
+ */
+using SendCondition = std::function<bool()>;
+
 /** Number of a partition of the store; one may be unavailable while others answer. */
 using StorePartition = std::uint32_t;
 
@@ -50,7 +56,10 @@
     bool released = false;
     /** Workers that have runs and that the owner cannot reach, each with the longest remaining time of its lease, in milliseconds. */
     std::map<WorkerId, std::int64_t> unreachableWorkers;
-    /** Set on release: instances for which the owner gave recent orders, and how long before the release, in milliseconds. */
+    /**
+     * Set on release: instances for which the owner gave recent orders, and how long before the release, in milliseconds;
+     * negative for an order that may still arrive after it.
+     */
     std::map<InstanceId, std::int64_t> recentInstanceOrders;
     /** The partition that holds the jobs; the next owner reads them from there. */
     StorePartition jobsPartition = 0;
@@ -124,12 +133,13 @@
     using AdviceHandler = std::function<void(AdviceResult result)>;
 
     /** Starts a run; @p payload is passed unchanged to the task. */
-    std::function<void(const WorkerFacts &worker, const StartOrder &order, const std::string &payload, OrderHandler handler)> start;
-    std::function<void(const WorkerFacts &worker, const StopOrder &order, OrderHandler handler)> stop;
+    std::function<void(const WorkerFacts &worker, const StartOrder &order, const std::string &payload, const SendCondition &maySend, OrderHandler handler)>
+        start;
+    std::function<void(const WorkerFacts &worker, const StopOrder &order, const SendCondition &maySend, OrderHandler handler)> stop;
     /** Limits the speed of a run. */
-    std::function<void(const WorkerFacts &worker, const ThrottleOrder &order, OrderHandler handler)> throttle;
+    std::function<void(const WorkerFacts &worker, const ThrottleOrder &order, const SendCondition &maySend, OrderHandler handler)> throttle;
     /** Renews the worker's lease and reads its list of runs. */
-    std::function<void(const WorkerFacts &worker, const RenewLeaseOrder &order, RenewLeaseHandler handler)> renewLease;
+    std::function<void(const WorkerFacts &worker, const RenewLeaseOrder &order, const SendCondition &maySend, RenewLeaseHandler handler)> renewLease;
     /** Asks the advice service which workers may run a step. */
     std::function<void(const AdviceOrder &order, AdviceHandler handler)> advise;
     /** Closes the connections to all workers for which @p isKnown returns false. */
@@ -160,10 +170,14 @@
 
     /** Reads the page of the list with the token @p page, empty for the first; nothing on failure. */
     std::function<void(const std::string &page, ListHandler handler)> list;
-    /** Sends an order. The control plane refuses orders with an epoch below the highest that it has seen. */
-    std::function<void(const InstanceOrder &order, std::uint64_t epoch, OrderHandler handler)> order;
+    /**
+     * Sends an order, and gives OrderUnanswered if there is no answer within @p timeout from now. A control plane may refuse
+     * orders with an epoch below the highest that it has seen.
+     */
+    std::function<void(const InstanceOrder &order, std::uint64_t epoch, const SendCondition &maySend, std::chrono::milliseconds timeout, OrderHandler handler)>
+        order;
     /** Reports to the operators that a wave is running or completed; @p handler gets whether the report was stored. */
-    std::function<void(std::uint64_t wave, bool completed, ReportHandler handler)> reportWave;
+    std::function<void(std::uint64_t wave, bool completed, const SendCondition &maySend, ReportHandler handler)> reportWave;
 };
 
 /** A host and path prefix through which callers reach a queue. */
--- a/libs/jobnode/src/details/jobnodeimpl.h
+++ b/libs/jobnode/src/details/jobnodeimpl.h
@@ -36,7 +36,7 @@
         , instances(std::move(instancePort))
         , metrics(metricsRegistry)
         , incarnation(toUnixMilliseconds(wallNow()))
-        , view(settings.ownershipTimes, claimDelayOf(settings), settings.name)
+        , view(settings.ownershipTimes, claimDelay(settings.cpuShare, settings.name), settings.name)
         , timer(ioContext)
         , heartbeatTimer(ioContext)
         , adviceTimer(ioContext)
@@ -92,11 +92,11 @@
     bool stopped = false;
 
     void build();
-    /** How long this node delays a claim, so that nodes do not claim at the same time. */
-    static std::chrono::milliseconds claimDelayOf(const JobNodeSettings &settings);
     void runAfter(std::chrono::milliseconds delay, std::function<void()> action);
     void readNewestOwnership();
     void followOwnership();
+    /** Reads the newest ownership record once, beside the read that waits for the next one. */
+    void rereadOwnership();
     /** The handler for a read of the ownership log that is sent now; it applies the answer and continues to read. */
     std::function<void(const tl::expected<OwnershipPage, StoreFailure> &)> onOwnershipPage();
     void notePage(const OwnershipPage &page, BootTime sentAt);
--- a/libs/jobnode/src/details/jobownerimpl.h
+++ b/libs/jobnode/src/details/jobownerimpl.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "details/advicedispatcher.h"
+#include "details/ownerpermission.h"
 #include "jobnode/jobowner.h"
 
 #include <asio/steady_timer.hpp>
@@ -44,6 +45,9 @@
          std::function<void(std::string)> ownershipLostHandler)
         : context(ownerContext)
         , epoch(ownerEpoch)
+        , permission(std::make_shared<OwnerPermission>(context.ownershipTimes))
+        , mayOrderWorkers(sendCondition(permission, OwnerAction::OrderWorkers))
+        , mayExtendLeases(sendCondition(permission, OwnerAction::ExtendLeases))
         , onOwnershipLost(std::move(ownershipLostHandler))
         , scheduler(context.schedulerTimes, ownerEpoch)
         , adviceDispatcher(
@@ -72,12 +76,20 @@
         , reachableWorkers(context.metrics.gauge("workers_reachable", "Workers that answer"))
     {
         scheduler.setPredecessor(std::move(predecessorState.leases));
-        fleetController = std::make_shared<FleetController>(
-            context.instances, scheduler, context.instanceTimes, epoch, std::move(predecessorState.instances), context.metrics);
+        fleetController = std::make_shared<FleetController>(context.instances,
+                                                            scheduler,
+                                                            context.instanceTimes,
+                                                            epoch,
+                                                            std::move(predecessorState.instances),
+                                                            sendCondition(permission, OwnerAction::OrderInstances),
+                                                            context.metrics);
     }
 
     JobOwnerContext context;
     const std::uint64_t epoch;
+    const std::shared_ptr<OwnerPermission> permission;
+    const SendCondition mayOrderWorkers;
+    const SendCondition mayExtendLeases;
     std::function<void(std::string)> onOwnershipLost;
     Scheduler scheduler;
     std::shared_ptr<FleetController> fleetController;
@@ -103,8 +115,6 @@
     bool pumpPosted = false;
     std::function<void()> onDrained;
     BootTime drainDeadline{};
-    /** When the latest successful store call was sent. */
-    BootTime storeContactAt{};
     BootTime lastBatchAt{};
     BootTime metricsUpdatedAt{};
     /** Number of the latest call of storeJobs() for the partition. */
--- a/libs/jobnode/src/fleetcontroller.cpp
+++ b/libs/jobnode/src/fleetcontroller.cpp
@@ -59,12 +59,13 @@
 }
 
 FleetController::FleetController(
-    InstancePort &port, Scheduler &scheduler, InstanceTimes times, std::uint64_t epoch, InstanceHandOver handOver, Metrics &metrics)
+    InstancePort &port, Scheduler &scheduler, InstanceTimes times, std::uint64_t epoch, InstanceHandOver handOver, SendCondition mayOrder, Metrics &metrics)
     : m_port(port)
     , m_scheduler(scheduler)
     , m_times(times)
     , m_epoch(epoch)
     , m_handOver(std::move(handOver))
+    , m_mayOrder(std::move(mayOrder))
     , m_movesTotal(metrics.counter("instance_moves_total", "Moves of instances between pools"))
     , m_maintenanceTotal(metrics.counter("instance_maintenance_total", "Maintenance of instances begun"))
     , m_pools(times.pools)
@@ -120,7 +121,14 @@
     }
 }
 
-void FleetController::advance(BootTime now, const FleetPolicy &policy, bool mayAct)
+void FleetController::notePredecessorFenced(BootTime fencedAt)
+{
+    if (!m_handOver.predecessorEnded) {
+        m_predecessorOrdersEndAt = fencedAt + m_handOver.predecessorPermission + m_times.orderTimeout;
+    }
+}
+
+void FleetController::advance(BootTime now, const FleetPolicy &policy)
 {
     if (m_ended || now - m_decidedAt < DecisionInterval) {
         return;
@@ -133,7 +141,7 @@
     std::map<InstanceId, InstanceView> views = viewInstances(now);
     std::vector<WorkerId> previouslyCordoned;
     std::swap(m_cordoned, previouslyCordoned);
-    if (mayAct) {
+    if (m_mayOrder()) {
         decideWaves(views, now);
         // Instances for which a wave has just given an order must not be moved, so the views are built again.
         views = viewInstances(now);
@@ -146,10 +154,13 @@
 
 void FleetController::refresh(BootTime now)
 {
-    if (m_listInFlight || now - m_listedAt < ListInterval) {
+    // The first list that shows the effect of all orders of the predecessor is read as soon as possible.
+    const bool isFirstAfterPredecessor = m_listBegunAt < m_predecessorOrdersEndAt && now >= m_predecessorOrdersEndAt;
+    if (m_listInFlight || (now - m_listedAt < ListInterval && !isFirstAfterPredecessor)) {
         return;
     }
     m_listInFlight = true;
+    m_nextListBegunAt = now;
     m_nextInstances.clear();
     readPage({});
 }
@@ -173,6 +184,7 @@
         }
         self->m_instances = std::exchange(self->m_nextInstances, {});
         self->m_listedAt = BootClock::now();
+        self->m_listBegunAt = self->m_nextListBegunAt;
         self->m_listInFlight = false;
     });
 }
@@ -181,25 +193,34 @@
 {
     const BootTime now = BootClock::now();
     std::map<InstanceId, std::int64_t> recent;
-    for (const auto &[instance, sentAt] : m_orderSentAt) {
-        if (now - sentAt < m_times.handOverDelay) {
-            recent[instance] = (now - sentAt).count();
+    for (const auto &[instance, underWayAt] : m_orderUnderWayAt) {
+        if (m_inFlight.count(instance) != 0) {
+            recent[instance] = -m_times.orderTimeout.count();
+        } else if (now - underWayAt < m_times.handOverDelay) {
+            recent[instance] = (now - underWayAt).count();
         }
     }
     return recent;
 }
 
 // Orders of two owners for one instance must be InstanceTimes::handOverDelay apart. A worker that was started long ago shows
-// that its instance has had no order since its start, as an order ends the worker.
+// that its instance has had no order since its start, as an order ends the worker; the list must be read after the
+// predecessor's last order has arrived.
 bool FleetController::mayOrder(const InstanceFacts &facts, BootTime now) const
 {
+    if (now < m_predecessorOrdersEndAt) {
+        return false;
+    }
     const auto blocked = m_handOver.blockedUntil.find(facts.id);
     if (blocked != m_handOver.blockedUntil.end() && now < blocked->second) {
         return false;
     }
-    if (m_handOver.isComplete || now >= m_handOver.unlistedBlockedUntil) {
+    if (m_handOver.isComplete || now >= m_predecessorOrdersEndAt + m_times.handOverDelay) {
         return true;
     }
+    if (m_listBegunAt < m_predecessorOrdersEndAt) {
+        return false;
+    }
     const WorkerSession *worker = facts.worker.empty() ? nullptr : m_scheduler.findWorker(facts.worker);
     const std::int64_t workerStartMs = worker == nullptr ? 0 : worker->facts().startTimeMs;
     return workerStartMs != 0 && toUnixMilliseconds(wallNow()) - workerStartMs > MinStableWorkerAge.count();
@@ -310,13 +331,13 @@
     const WorkerId worker = m_instances.at(instance).worker;
     m_inFlight.insert(instance);
     m_orderedAt[instance] = now;
-    m_orderSentAt[instance] = now;
+    m_orderUnderWayAt[instance] = now;
     if (const MoveInstance *move = std::get_if<MoveInstance>(&order)) {
         m_movingTo[instance] = move->pool;
     } else {
         m_movingTo.erase(instance);
     }
-    m_port.order(order, m_epoch, [self = shared_from_this(), order, worker](const InstanceResult &result) {
+    m_port.order(order, m_epoch, m_mayOrder, m_times.orderTimeout, [self = shared_from_this(), order, worker](const InstanceResult &result) {
         if (!self->m_ended) {
             self->noteResult(order, worker, result);
         }
@@ -331,6 +352,7 @@
     const InstanceId &instance = instanceOf(order);
     m_inFlight.erase(instance);
     m_orderedAt[instance] = now;
+    m_orderUnderWayAt[instance] = now;
     const bool taken = std::holds_alternative<InstanceOrderAccepted>(result);
     const InstanceRefusal *refusal = std::get_if<InstanceRefusal>(&result);
     logChange("instances",
@@ -365,7 +387,7 @@
 
 void FleetController::reportWave(std::uint64_t number, bool completed)
 {
-    m_port.reportWave(number, completed, [self = shared_from_this(), number, completed](bool stored) {
+    m_port.reportWave(number, completed, m_mayOrder, [self = shared_from_this(), number, completed](bool stored) {
         if (self->m_ended) {
             return;
         }
--- a/libs/jobnode/src/jobnodeownership.cpp
+++ b/libs/jobnode/src/jobnodeownership.cpp
@@ -10,13 +10,6 @@
 
 using namespace std::chrono_literals;
 
-// Delay of a claim by a node with one whole core; nodes with less cpu wait longer in proportion, those with more wait less.
-constexpr double ClaimDelayMsForOneCore = 25.0;
-// Nodes with the same cpu differ in their delay by a hash of their names, below this bound.
-constexpr std::uint32_t ClaimJitterMs = 60;
-constexpr auto MaxClaimDelay = 400ms;
-// A waiting read of the ownership log returns at least this often, so that missing heartbeats are detected in time.
-constexpr auto FollowTimeout = 350ms;
 constexpr auto OwnershipReadRetryDelay = 200ms;
 // While there is no owner, a node checks at this interval whether its claim is due.
 constexpr auto ClaimCheckInterval = 50ms;
@@ -27,13 +20,6 @@
 
 }
 
-std::chrono::milliseconds JobNode::Impl::claimDelayOf(const JobNodeSettings &settings)
-{
-    const auto byCpuShare = static_cast<std::int64_t>(ClaimDelayMsForOneCore / std::max(0.05, settings.cpuShare));
-    const auto jitter = static_cast<std::int64_t>(std::hash<std::string>()(settings.name) % ClaimJitterMs);
-    return std::min<std::chrono::milliseconds>(MaxClaimDelay, std::chrono::milliseconds(byCpuShare + jitter));
-}
-
 void JobNode::Impl::runAfter(std::chrono::milliseconds delay, std::function<void()> action)
 {
     timer.expires_after(delay);
@@ -51,7 +37,21 @@
 
 void JobNode::Impl::followOwnership()
 {
-    store.followOwnership(view.endOffset(), FollowTimeout, onOwnershipPage());
+    store.followOwnership(view.endOffset(), view.readWait(BootClock::now()), onOwnershipPage());
+}
+
+// The waiting read may have lost its answer, and until it times out each heartbeat would conflict again.
+void JobNode::Impl::rereadOwnership()
+{
+    store.newestOwnership([self = shared_from_this(), sentAt = BootClock::now()](const tl::expected<OwnershipPage, StoreFailure> &page) {
+        if (self->stopped || !page) {
+            return;
+        }
+        self->notePage(*page, sentAt);
+        if (self->jobOwner) {
+            self->scheduleHeartbeat(0ms);
+        }
+    });
 }
 
 std::function<void(const tl::expected<OwnershipPage, StoreFailure> &)> JobNode::Impl::onOwnershipPage()
@@ -141,8 +141,8 @@
     return record;
 }
 
-// How long the predecessor's leases may still last: an owner extends leases only for maxContactAgeForLeases after its latest
-// successful store call.
+// How long the predecessor's leases may still last, counted from its fence: an owner extends leases only for
+// maxContactAgeForLeases after the latest store call that confirmed its ownership.
 PredecessorLeases JobNode::Impl::predecessorLeases() const
 {
     PredecessorLeases leases;
@@ -154,8 +154,9 @@
     const std::chrono::milliseconds recordAge = BootClock::now() - predecessorRecordAt;
     const std::chrono::milliseconds extensionPeriod
         = predecessor->released || isPreviousIncarnation(*predecessor) ? 0ms : std::chrono::milliseconds(settings.ownershipTimes.maxContactAgeForLeases);
-    // An earlier process of this node may have extended leases until this process started, however old its record is.
-    const std::chrono::milliseconds elapsed = isPreviousIncarnation(*predecessor) && !predecessor->released ? 0ms : recordAge;
+    // A predecessor that did not release the ownership may have extended leases until now, however old its record is: an earlier
+    // process of this node until it ended, another node because it may have had other confirmations of its ownership.
+    const std::chrono::milliseconds elapsed = predecessor->released ? recordAge : 0ms;
     leases.otherWorkers = std::max<std::chrono::milliseconds>(0ms, extensionPeriod + maxLeaseDuration - elapsed);
     for (const auto &[worker, leaseLeftMs] : predecessor->unreachableWorkers) {
         leases.unreachable[worker] = std::max<std::chrono::milliseconds>(0ms, std::chrono::milliseconds(leaseLeftMs) - recordAge);
@@ -170,12 +171,12 @@
 
 InstanceHandOver JobNode::Impl::instanceHandOver() const
 {
-    const BootTime now = BootClock::now();
     InstanceHandOver handOver;
     // All recent orders are known if there was no predecessor or if it listed them when it released the ownership. Orders
     // of this node's own earlier ownership need no delay: it continues them under a higher epoch.
     handOver.isComplete = !predecessor || predecessor->released || predecessor->node == settings.name;
-    handOver.unlistedBlockedUntil = now + settings.instanceTimes.handOverDelay;
+    handOver.predecessorEnded = !predecessor || predecessor->released || isPreviousIncarnation(*predecessor);
+    handOver.predecessorPermission = settings.ownershipTimes.maxContactAgeForInstances;
     if (predecessor && predecessor->node != settings.name) {
         for (const auto &[instance, recordAge] : predecessor->recentInstanceOrders) {
             handOver.blockedUntil[instance] = predecessorRecordAt + settings.instanceTimes.handOverDelay - std::chrono::milliseconds(recordAge);
@@ -299,9 +300,11 @@
         jobOwner->noteStoreContact(sentAt);
         jobOwner->notePublishedPartition(record.jobsPartition);
     } else if (!offset) {
-        // A conflict alone does not end the ownership: the log may have grown by this node's own earlier record. The read
-        // of the log that follows shows whether there is a later owner.
+        // A conflict alone does not end the ownership: the log may have grown by this node's own earlier record.
         logChange("owner", "heartbeat not stored", {{"reason", std::string(toName(offset.error()))}});
+        if (offset.error() == StoreFailure::Conflict) {
+            rereadOwnership();
+        }
     }
     const bool isUnanswered = !offset && offset.error() == StoreFailure::Unanswered;
     scheduleHeartbeat(isUnanswered || (std::exchange(heartbeatWanted, false) && offset) ? 0ms : settings.ownershipTimes.heartbeatInterval);
--- a/libs/jobnode/src/jobowner.cpp
+++ b/libs/jobnode/src/jobowner.cpp
@@ -34,7 +34,8 @@
             return;
         }
         if (result) {
-            self->storeContactAt = std::max(self->storeContactAt, sentAt);
+            self->permission->confirm(sentAt);
+            self->fleetController->notePredecessorFenced(BootClock::now());
             self->readPage({});
         } else if (result.error() == StoreFailure::Fenced) {
             self->loseOwnership("fenced while taking over");
@@ -131,6 +132,7 @@
     }
     ended = true;
     serving = false;
+    permission->revoke();
     pumpTimer.cancel();
     retryTimer.cancel();
     context.registry.stop();
@@ -151,7 +153,7 @@
     m_impl->policy = std::move(policy);
     Impl &impl = *m_impl;
     const BootTime now = BootClock::now();
-    impl.storeContactAt = now;
+    impl.permission->confirm(now);
     impl.fence();
 }
 
@@ -168,6 +170,7 @@
         return;
     }
     m_impl->draining = true;
+    m_impl->permission->suspendOrders();
     m_impl->drainDeadline = BootClock::now() + DrainTimeout;
     m_impl->onDrained = std::move(onDrained);
     m_impl->schedulePump();
@@ -193,7 +196,7 @@
 
 void JobOwner::noteStoreContact(BootTime sentAt)
 {
-    m_impl->storeContactAt = std::max(m_impl->storeContactAt, sentAt);
+    m_impl->permission->confirm(sentAt);
 }
 
 void JobOwner::handle(const JobCall &call, const Responder &respond)
--- a/libs/jobnode/src/jobownercalls.cpp
+++ b/libs/jobnode/src/jobownercalls.cpp
@@ -42,7 +42,7 @@
 
 bool JobOwner::Impl::isStoreUnavailable(BootTime now) const
 {
-    return (storeInFlight && now - batchStartedAt > StoreUnavailableTimeout) || now - storeContactAt > context.ownershipTimes.maxContactAgeForOrders;
+    return (storeInFlight && now - batchStartedAt > StoreUnavailableTimeout) || !permission->allows(OwnerAction::OrderWorkers, now);
 }
 
 void JobOwner::Impl::handle(const JobCall &call, const Responder &respond)
--- a/libs/jobnode/src/jobownerstore.cpp
+++ b/libs/jobnode/src/jobownerstore.cpp
@@ -65,7 +65,10 @@
             return;
         }
         if (result) {
-            self->storeContactAt = std::max(self->storeContactAt, sentAt);
+            // A successor fences the published partition, so only that one shows whether there is a successor.
+            if (self->partition == self->publishedPartition) {
+                self->permission->confirm(sentAt);
+            }
             self->storeFailures = {};
             self->onChunkStored();
             return;
@@ -144,7 +147,7 @@
 bool JobOwner::Impl::mayMovePartition() const
 {
     const bool isPersistent = storeFailures.refused >= MaxRefusals || storeFailures.unanswered >= MaxUnanswered;
-    return serving && context.store.partitionCount > 1 && isPersistent && storeContactAt > storeFailures.firstSentAt;
+    return serving && context.store.partitionCount > 1 && isPersistent && permission->confirmedAt() > storeFailures.firstSentAt;
 }
 
 void JobOwner::Impl::movePartition(std::string_view reason)
--- a/libs/jobnode/src/jobownerwork.cpp
+++ b/libs/jobnode/src/jobownerwork.cpp
@@ -53,7 +53,7 @@
     adviceDispatcher.advance(now);
     if (!draining) {
         scheduler.advance(now, toUnixMilliseconds(wallNow()));
-        fleetController->advance(now, *policy, now - storeContactAt < context.ownershipTimes.maxContactAgeForOrders);
+        fleetController->advance(now, *policy);
     }
     storeNext(now);
     executeOrders(now);
@@ -83,12 +83,11 @@
 
 void JobOwner::Impl::executeOrders(BootTime now)
 {
-    const std::chrono::milliseconds age = now - storeContactAt;
-    if (age >= context.ownershipTimes.maxContactAgeForLeases) {
+    if (!permission->allows(OwnerAction::ExtendLeases, now)) {
         return;
     }
-    const bool mayAct = age < context.ownershipTimes.maxContactAgeForOrders && !draining;
-    for (const Order &order : scheduler.takeOrders(now, mayAct ? OrderScope::All : OrderScope::Leases)) {
+    const bool mayOrder = permission->allows(OwnerAction::OrderWorkers, now);
+    for (const Order &order : scheduler.takeOrders(now, mayOrder ? OrderScope::All : OrderScope::Leases)) {
         std::visit(
             [this](const auto &specificOrder) {
                 execute(specificOrder);
@@ -105,7 +104,7 @@
         return;
     }
     startsTotal.increment();
-    context.workers.start(worker->facts(), order, job->spec.payload, [self = shared_from_this(), order](const OrderResult &result) {
+    context.workers.start(worker->facts(), order, job->spec.payload, mayOrderWorkers, [self = shared_from_this(), order](const OrderResult &result) {
         if (!self->ended) {
             self->scheduler.handleStartResult(order, result, BootClock::now(), toUnixMilliseconds(wallNow()));
             self->schedulePump();
@@ -116,7 +115,7 @@
 void JobOwner::Impl::execute(const StopOrder &order)
 {
     if (const WorkerSession *worker = scheduler.findWorker(order.worker)) {
-        context.workers.stop(worker->facts(), order, [self = shared_from_this(), order](const OrderResult &result) {
+        context.workers.stop(worker->facts(), order, mayOrderWorkers, [self = shared_from_this(), order](const OrderResult &result) {
             if (!self->ended) {
                 self->scheduler.handleStopResult(order, result, BootClock::now());
                 self->schedulePump();
@@ -128,7 +127,7 @@
 void JobOwner::Impl::execute(const ThrottleOrder &order)
 {
     if (const WorkerSession *worker = scheduler.findWorker(order.worker)) {
-        context.workers.throttle(worker->facts(), order, [self = shared_from_this(), order](const OrderResult &result) {
+        context.workers.throttle(worker->facts(), order, mayOrderWorkers, [self = shared_from_this(), order](const OrderResult &result) {
             if (!self->ended) {
                 self->scheduler.handleThrottleResult(order, result);
             }
@@ -140,7 +139,7 @@
 {
     if (const WorkerSession *worker = scheduler.findWorker(order.worker)) {
         const BootTime sentAt = BootClock::now();
-        context.workers.renewLease(worker->facts(), order, [self = shared_from_this(), order, sentAt](const RenewLeaseResult &result) {
+        context.workers.renewLease(worker->facts(), order, mayExtendLeases, [self = shared_from_this(), order, sentAt](const RenewLeaseResult &result) {
             if (!self->ended) {
                 self->scheduler.handleLeaseRenewalResult(order, sentAt, result, BootClock::now(), toUnixMilliseconds(wallNow()));
                 self->schedulePump();
--- a/libs/jobnode/src/ownershipview.cpp
+++ b/libs/jobnode/src/ownershipview.cpp
@@ -8,9 +8,27 @@
 
 // Time for the named successor to store its claim, even if the store is slow, before other nodes claim too.
 constexpr std::chrono::milliseconds NamedSuccessorGrace{400};
+// A waiting read returns at least this often, so that a connection that lost its answer is noticed in time.
+constexpr std::chrono::milliseconds MaxReadWait{350};
+// Bounds the rate of reads while this node's claim is due but not possible.
+constexpr std::chrono::milliseconds MinReadWait{40};
+// Delay of a claim by a node with one whole core; nodes with less cpu wait longer in proportion, those with more wait less.
+constexpr double ClaimDelayMsForOneCore = 25.0;
+// Avoids a claim delay beyond MaxClaimDelay by far for nodes with hardly any cpu.
+constexpr double MinCpuShare = 0.05;
+// Nodes with the same cpu differ in their delay by a hash of their names, below this bound.
+constexpr std::uint32_t ClaimJitterMs = 60;
+constexpr std::chrono::milliseconds MaxClaimDelay{400};
 
 }
 
+std::chrono::milliseconds claimDelay(double cpuShare, const std::string &name)
+{
+    const auto byCpuShare = static_cast<std::int64_t>(ClaimDelayMsForOneCore / std::max(MinCpuShare, cpuShare));
+    const auto jitter = static_cast<std::int64_t>(std::hash<std::string>()(name) % ClaimJitterMs);
+    return std::min(MaxClaimDelay, std::chrono::milliseconds(byCpuShare + jitter));
+}
+
 OwnershipView::OwnershipView(OwnershipTimes times, std::chrono::milliseconds claimDelay, std::string self)
     : m_times(times)
     , m_claimDelay(claimDelay)
@@ -20,6 +38,9 @@
 
 void OwnershipView::notePage(const OwnershipPage &page, BootTime now)
 {
+    if (page.endOffset < m_endOffset) {
+        return;
+    }
     if (!page.records.empty()) {
         m_owner = page.records.back();
         m_lastRecordAt = now;
@@ -27,7 +48,7 @@
     if (!page.records.empty() || m_storeFailed) {
         m_ownerTimeoutStartedAt = now;
     }
-    m_endOffset = std::max(m_endOffset, page.endOffset);
+    m_endOffset = page.endOffset;
     m_storeFailed = false;
     m_hasReadLog = true;
     m_lastPageAt = now;
@@ -58,6 +79,14 @@
     return m_lastRecordAt;
 }
 
+std::chrono::milliseconds OwnershipView::readWait(BootTime now) const
+{
+    if (!m_hasReadLog || m_storeFailed || !m_owner || m_owner->released || m_owner->node == m_selfName) {
+        return MaxReadWait;
+    }
+    return std::clamp(m_ownerTimeoutStartedAt + m_times.ownerTimeout + m_claimDelay - now, MinReadWait, MaxReadWait);
+}
+
 bool OwnershipView::shouldClaim(BootTime now) const
 {
     if (!m_hasReadLog || m_storeFailed) {
--- a/libs/jobnode/tests/fleetcontrollertest.cpp
+++ b/libs/jobnode/tests/fleetcontrollertest.cpp
@@ -27,17 +27,26 @@
             facts.capacity = {4000, 4000, 0};
             handler(InstancePage{{facts}, {}});
         };
-        port.order = [this](const InstanceOrder &, std::uint64_t, const InstancePort::OrderHandler &handler) {
+        port.order = [this](const InstanceOrder &, std::uint64_t, const SendCondition &, std::chrono::milliseconds, const InstancePort::OrderHandler &handler) {
             ++orders;
             handler(results.empty() ? InstanceResult(InstanceOrderAccepted{}) : results.front());
             if (!results.empty()) {
                 results.erase(results.begin());
             }
         };
-        port.reportWave = [](std::uint64_t, bool, const InstancePort::ReportHandler &handler) {
+        port.reportWave = [](std::uint64_t, bool, const SendCondition &, const InstancePort::ReportHandler &handler) {
             handler(true);
         };
-        controller = std::make_shared<FleetController>(port, scheduler, InstanceTimes{}, 1, InstanceHandOver{true, {}, {}}, metrics);
+        takeOver({true, true, {}, {}});
+    }
+
+    /** Replaces the controller by one that follows a predecessor. */
+    void takeOver(const InstanceHandOver &handOver)
+    {
+        const auto mayOrder = [] {
+            return true;
+        };
+        controller = std::make_shared<FleetController>(port, scheduler, InstanceTimes{}, 1, handOver, mayOrder, metrics);
     }
 
     /** Registers a worker on the instance, submits a job and drives the scheduler until the job runs there. */
@@ -113,13 +122,13 @@
     fleet.worker = "w1";
     fleet.results = {OrderUnanswered{}};
     fleet.controller->addWave({1, {"m1"}, 500ms, 1}, begin - 10s);
-    fleet.controller->advance(begin, *fleet.policy, true);
+    fleet.controller->advance(begin, *fleet.policy);
     BOOST_REQUIRE(fleet.orders == 1);
     // The order was carried out: the instance is up again with its next worker, which runs a job.
     fleet.runJobOn("w2", begin + 500ms);
     BOOST_REQUIRE(fleet.starts == 1);
     const BootTime repeated = BootClock::now() + 2s;
-    fleet.controller->advance(repeated, *fleet.policy, true);
+    fleet.controller->advance(repeated, *fleet.policy);
     BOOST_REQUIRE(fleet.orders == 2);
     for (int round = 0; round < 20; ++round) {
         fleet.work(repeated + round * 10ms);
@@ -127,3 +136,22 @@
     BOOST_TEST(fleet.starts == 1);
     BOOST_TEST(fleet.scheduler.findWorker("w2")->runs().size() == 1U);
 }
+
+// The predecessor lost its contact but not its process: orders that it sent until its permission expired may arrive until
+// their timeout. The worker of the instance was started long ago, so the predecessor's orders have not reached it yet.
+BOOST_AUTO_TEST_CASE(theFirstOrderWaitsForThoseOfAPredecessorThatHasNotEnded)
+{
+    SingleInstanceFixture fleet;
+    const BootTime begin = BootClock::now();
+    const InstanceTimes times;
+    const std::chrono::milliseconds permission = 600ms;
+    fleet.runJobOn("w1", begin);
+    fleet.takeOver({false, false, {}, permission});
+    fleet.controller->notePredecessorFenced(begin);
+    fleet.controller->addWave({1, {"m1"}, 500ms, 1}, begin - 10s);
+    fleet.controller->advance(begin, *fleet.policy);
+    fleet.controller->advance(begin + permission + times.orderTimeout - 1ms, *fleet.policy);
+    BOOST_TEST(fleet.orders == 0);
+    fleet.controller->advance(begin + permission + times.orderTimeout + 100ms, *fleet.policy);
+    BOOST_TEST(fleet.orders == 1);
+}
--- a/libs/jobnode/tests/nodefleet.h
+++ b/libs/jobnode/tests/nodefleet.h
@@ -10,6 +10,7 @@
 #include <array>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -17,7 +18,17 @@
 
 using namespace std::chrono_literals;
 
-/** A store, a worker, a registry and an advice service in memory, shared by the nodes of a test. Reading the list of instances fails. */
+/** An order that the control plane of the instances has received. */
+struct ReceivedInstanceOrder {
+    InstanceId instance;
+    std::string node;
+    std::uint64_t epoch = 0;
+};
+
+/**
+ * A store, workers, a registry, an advice service and a control plane of instances in memory, shared by the nodes of a test.
+ * Without instances there is one worker, and reading the list of instances fails.
+ */
 struct InMemoryPlatform {
     explicit InMemoryPlatform(asio::io_context &ioContext)
         : io(ioContext)
@@ -42,6 +53,13 @@
     int answersToLose = 0;
     /** This many of the next claims and heartbeats fail with a conflict. */
     int conflictsToReport = 0;
+    /** This node's calls to the ownership log are neither processed nor answered, those to the jobs are. */
+    std::string nodeWithoutOwnershipLog;
+    /** Number of instances, each with a worker that was started long ago. */
+    std::size_t instanceCount = 0;
+    /** Orders in the order of their arrival. */
+    std::vector<ReceivedInstanceOrder> instanceOrders;
+    std::set<InstanceId> maintained;
     /** Run numbers of the running tasks. */
     std::map<TaskName, std::uint32_t> running;
     std::vector<ListedEnd> ended;
@@ -65,12 +83,17 @@
         });
     }
 
-    StorePort store()
+    static InstanceId instanceName(std::size_t number)
+    {
+        return "m" + std::to_string(number);
+    }
+
+    StorePort store(const std::string &node)
     {
         StorePort port;
-        port.newestOwnership = [this](const StorePort::OwnershipHandler &handler) {
-            runLater([this, handler] {
-                if (isUnavailable) {
+        port.newestOwnership = [this, node](const StorePort::OwnershipHandler &handler) {
+            runLater([this, node, handler] {
+                if (isUnavailable || node == nodeWithoutOwnershipLog) {
                     handler(tl::make_unexpected(StoreFailure::Refused));
                     return;
                 }
@@ -81,10 +104,10 @@
                 handler(page);
             });
         };
-        port.followOwnership = [this](std::uint64_t from, std::chrono::milliseconds, const StorePort::OwnershipHandler &handler) {
+        port.followOwnership = [this, node](std::uint64_t from, std::chrono::milliseconds, const StorePort::OwnershipHandler &handler) {
             runLater(
-                [this, from, handler] {
-                    if (isUnavailable) {
+                [this, node, from, handler] {
+                    if (isUnavailable || node == nodeWithoutOwnershipLog) {
                         handler(tl::make_unexpected(StoreFailure::Refused));
                         return;
                     }
@@ -94,21 +117,22 @@
                 },
                 10ms);
         };
-        port.claimOwnership = [this](const OwnershipRecord &record, std::uint64_t at, std::chrono::milliseconds, const StorePort::OffsetHandler &handler) {
-            runLater([this, record, at, handler] {
-                if (isUnavailable) {
-                    handler(tl::make_unexpected(StoreFailure::Refused));
-                } else if (conflictsToReport > 0) {
-                    --conflictsToReport;
-                    handler(tl::make_unexpected(StoreFailure::Conflict));
-                } else if (at != ownership.size()) {
-                    handler(tl::make_unexpected(StoreFailure::Conflict));
-                } else {
-                    ownership.push_back(record);
-                    handler(at);
-                }
-            });
-        };
+        port.claimOwnership
+            = [this, node](const OwnershipRecord &record, std::uint64_t at, std::chrono::milliseconds, const StorePort::OffsetHandler &handler) {
+                  runLater([this, node, record, at, handler] {
+                      if (isUnavailable || node == nodeWithoutOwnershipLog) {
+                          handler(tl::make_unexpected(StoreFailure::Refused));
+                      } else if (conflictsToReport > 0) {
+                          --conflictsToReport;
+                          handler(tl::make_unexpected(StoreFailure::Conflict));
+                      } else if (at != ownership.size()) {
+                          handler(tl::make_unexpected(StoreFailure::Conflict));
+                      } else {
+                          ownership.push_back(record);
+                          handler(at);
+                      }
+                  });
+              };
         port.partitionCount = static_cast<StorePartition>(partitions.size());
         port.fenceJobs = [this](StorePartition number, std::uint64_t epoch, const StorePort::OffsetHandler &handler) {
             runLater([this, &partition = partitions.at(number), epoch, handler] {
@@ -183,7 +207,7 @@
     WorkerPort workers()
     {
         WorkerPort port;
-        port.start = [this](const WorkerFacts &, const StartOrder &order, const std::string &, const WorkerPort::OrderHandler &handler) {
+        port.start = [this](const WorkerFacts &, const StartOrder &order, const std::string &, const SendCondition &, const WorkerPort::OrderHandler &handler) {
             runLater([this, order, handler] {
                 if (order.fencingToken < highestFencingToken) {
                     handler(OrderRefusal::Fenced);
@@ -198,14 +222,14 @@
                 handler(OrderAccepted{1000});
             });
         };
-        port.stop = [this](const WorkerFacts &, const StopOrder &order, const WorkerPort::OrderHandler &handler) {
+        port.stop = [this](const WorkerFacts &, const StopOrder &order, const SendCondition &, const WorkerPort::OrderHandler &handler) {
             runLater([this, order, handler] {
                 running.erase(order.task);
                 ended.push_back({ended.size() + 1, order.task, order.run, RunEnd::Stopped, ""});
                 handler(OrderAccepted{1000});
             });
         };
-        port.renewLease = [this](const WorkerFacts &, const RenewLeaseOrder &order, const WorkerPort::RenewLeaseHandler &handler) {
+        port.renewLease = [this](const WorkerFacts &, const RenewLeaseOrder &order, const SendCondition &, const WorkerPort::RenewLeaseHandler &handler) {
             runLater(
                 [this, order, handler] {
                     if (order.fencingToken < highestFencingToken) {
@@ -253,30 +277,63 @@
     {
         RegistryPort port;
         port.watch = [this](const RegistryPort::WorkersHandler &handler) {
-            WorkerFacts facts;
-            facts.id = "w1";
-            facts.startTimeMs = 5;
-            facts.pool = "pool";
-            facts.address = "127.0.0.1:1";
-            facts.capacity = {4000, 4000, 0};
-            runLater([handler, facts] {
-                handler({facts}, {});
+            std::vector<WorkerFacts> workers;
+            for (std::size_t number = 0; number < std::max<std::size_t>(1, instanceCount); ++number) {
+                WorkerFacts facts;
+                facts.id = "w" + std::to_string(number + 1);
+                facts.startTimeMs = 5;
+                facts.pool = "pool";
+                facts.address = "127.0.0.1:1";
+                facts.capacity = {4000, 4000, 0};
+                workers.push_back(std::move(facts));
+            }
+            runLater([handler, workers] {
+                handler(workers, {});
             });
         };
         port.stop = [] {};
         return port;
     }
 
-    static InstancePort instances()
+    /** The control plane as @p node sees it: a slow one, which carries out one order of each node after the other. */
+    InstancePort instances(const std::string &node)
     {
         InstancePort port;
-        port.list = [](const std::string &, const InstancePort::ListHandler &handler) {
-            handler(std::nullopt);
+        port.list = [this](const std::string &, const InstancePort::ListHandler &handler) {
+            runLater([this, handler] {
+                InstancePage page;
+                for (std::size_t number = 0; number < instanceCount; ++number) {
+                    InstanceFacts facts;
+                    facts.id = instanceName(number);
+                    facts.pool = "pool";
+                    facts.worker = "w" + std::to_string(number + 1);
+                    facts.capacity = {4000, 4000, 0};
+                    page.instances.push_back(std::move(facts));
+                }
+                handler(page.instances.empty() ? std::nullopt : std::optional<InstancePage>(std::move(page)));
+            });
         };
-        port.order = [](const InstanceOrder &, std::uint64_t, const InstancePort::OrderHandler &handler) {
-            handler(InstanceRefusal::Later);
+        port.order = [this, node, queueEndsAt = std::make_shared<SteadyTime>()](const InstanceOrder &order,
+                                                                                std::uint64_t epoch,
+                                                                                const SendCondition &maySend,
+                                                                                std::chrono::milliseconds,
+                                                                                const InstancePort::OrderHandler &handler) {
+            constexpr auto OrderDuration = 40ms;
+            *queueEndsAt = std::max(steadyNow(), *queueEndsAt) + OrderDuration;
+            const InstanceId instance = std::get<MaintainInstance>(order).instance;
+            runLater(
+                [this, node, instance, epoch, maySend, handler] {
+                    if (!maySend()) {
+                        handler(InstanceRefusal::Later);
+                        return;
+                    }
+                    instanceOrders.push_back({instance, node, epoch});
+                    maintained.insert(instance);
+                    handler(InstanceOrderAccepted{});
+                },
+                std::chrono::duration_cast<std::chrono::milliseconds>(*queueEndsAt - steadyNow()));
         };
-        port.reportWave = [](std::uint64_t, bool, const InstancePort::ReportHandler &handler) {
+        port.reportWave = [](std::uint64_t, bool, const SendCondition &, const InstancePort::ReportHandler &handler) {
             handler(true);
         };
         return port;
@@ -285,11 +342,13 @@
 
 /** Nodes that share an in-memory platform and run on the test's thread. */
 struct NodeFixture {
-    explicit NodeFixture(std::size_t count)
+    explicit NodeFixture(std::size_t count, std::size_t instances = 0)
         : platform(io)
     {
+        platform.instanceCount = instances;
         auto policy = std::make_shared<FleetPolicy>();
         policy->version = 1;
+        policy->pools["pool"] = {};
         policy->queues["queue"].terms = {"pool", 0, 3, 2.0, 1000};
         configuration = std::make_shared<NodeConfiguration>();
         configuration->version = 1;
@@ -316,8 +375,8 @@
         settings.name = "node-" + std::to_string(number);
         settings.peerAddress = {"127.0.0.1", 0};
         settings.peerSecret = "secret of this test";
-        nodes.push_back(
-            std::make_unique<JobNode>(io, settings, platform.store(), platform.workers(), platform.registry(), InMemoryPlatform::instances(), metrics));
+        nodes.push_back(std::make_unique<JobNode>(
+            io, settings, platform.store(settings.name), platform.workers(), platform.registry(), platform.instances(settings.name), metrics));
         nodes.back()->start();
         nodes.back()->setConfiguration(configuration);
     }
--- a/libs/jobnode/tests/ownershipviewtest.cpp
+++ b/libs/jobnode/tests/ownershipviewtest.cpp
@@ -1,5 +1,7 @@
 #include "jobnode/ownershipview.h"
 
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 using namespace Cornelquay;
@@ -82,3 +84,52 @@
     // Other nodes claim after a grace period, as the named node may have failed.
     BOOST_TEST(other.shouldClaim(Start + 500ms));
 }
+
+// Two reads may overlap, so an older page can arrive after a later one.
+BOOST_AUTO_TEST_CASE(anOlderPageDoesNotReplaceALaterOne)
+{
+    OwnershipView view(OwnershipTimes{}, 0ms, "self");
+    view.notePage(makePage(3, {makeOwner("b", 3)}), Start);
+    view.notePage(makePage(2, {makeOwner("a", 1)}), Start + 1ms);
+    BOOST_TEST(view.owner()->node == "b");
+    BOOST_TEST(view.endOffset() == 3U);
+}
+
+// Load: a fleet of 97 nodes of unlike size loses its owner. Each node reads the ownership log with reads that wait, and a
+// claim is seen by all of them a few milliseconds later.
+BOOST_DATA_TEST_CASE(aLostOwnerIsReplacedByAFewClaimsOfStrongNodes, boost::unit_test::data::make({0.5, 0.25}), strongCpuShare)
+{
+    constexpr std::size_t Nodes = 97;
+    constexpr std::size_t StrongNodes = 15;
+    constexpr auto ReadLatency = 3ms;
+    constexpr auto ClaimLatency = 6ms;
+    const OwnershipTimes times;
+    std::vector<OwnershipView> views;
+    std::vector<BootTime> readEndsAt(Nodes, Start);
+    for (std::size_t number = 0; number < Nodes; ++number) {
+        const std::string name = "node-" + std::to_string(number);
+        views.emplace_back(times, claimDelay(number < StrongNodes ? strongCpuShare : 0.12, name), name);
+        views.back().notePage(makePage(1, {makeOwner("lost", 1)}), Start + std::chrono::milliseconds(number % 5));
+    }
+    std::size_t claims = 0;
+    std::size_t weakClaims = 0;
+    std::optional<BootTime> claimedAt;
+    for (BootTime now = Start; now < Start + 3s && (!claimedAt || now < *claimedAt + ClaimLatency); now += 1ms) {
+        for (std::size_t number = 0; number < Nodes; ++number) {
+            if (now < readEndsAt[number]) {
+                continue;
+            }
+            views[number].notePage(makePage(1), now);
+            if (views[number].shouldClaim(now)) {
+                ++claims;
+                weakClaims += number < StrongNodes ? 0 : 1;
+                claimedAt = claimedAt.value_or(now);
+            }
+            readEndsAt[number] = now + views[number].readWait(now) + ReadLatency;
+        }
+    }
+    BOOST_REQUIRE(claimedAt.has_value());
+    BOOST_TEST((*claimedAt - Start <= times.ownerTimeout + 150ms));
+    BOOST_TEST(claims <= StrongNodes / 2);
+    BOOST_TEST(weakClaims == 0U);
+}
