Size the spare capacity by what is free, and the moves by the fleet

And at most 12 instances moved in a decision, whatever the size of the fleet, so 540 instances met a surge of the same proportion more slowly than 49.

Change: a pool needs its demand and the spare instances, or the instances with long-running tasks if these are more. A decision moves up to 8 % of the instances, and 12 at least.

--- a/libs/scheduling/include/scheduling/poolplan.h
+++ b/libs/scheduling/include/scheduling/poolplan.h
@@ -95,6 +95,8 @@
     bool mayMove(const InstanceView &view, const std::string &pool) const;
 
     PoolTimes m_times;
+    /** Maximum number of moves of the decision in progress. */
+    std::size_t m_moveLimit = 0;
     /** When each instance last had runs or was not usable; before that, when it was seen for the first time. */
     std::map<InstanceId, BootTime> m_busyAt;
     std::map<InstanceId, BootTime> m_movedAt;
--- a/libs/scheduling/src/poolplan.cpp
+++ b/libs/scheduling/src/poolplan.cpp
@@ -12,8 +12,10 @@
 constexpr double SpareInstanceFraction = 0.25;
 // A pool gets one more instance once its demand would fill this fraction of it.
 constexpr double MinLastInstanceFraction = 0.3;
-// Limits the moves of one decision, so that the next decision can take their effect into account.
-constexpr std::size_t MaxMovesPerDecision = 12;
+// Limits the moves of one decision, so that the next decision can take their effect into account: to this number, or in large
+// fleets to this fraction of the instances, so that a surge is met in the same time whatever the size of the fleet is.
+constexpr std::size_t MinMoveLimit = 12;
+constexpr double MaxMovedFraction = 0.08;
 
 double instancesFor(const Resources &demand, const Resources &instance)
 {
@@ -133,7 +135,8 @@
         const double currentNeed = instancesFor(isBacklogDue ? demand.used + demand.backlog : demand.used, size);
         const double instancesNeeded = std::max(currentNeed, instancesFor(demand.offered, size));
         const auto needed = static_cast<std::size_t>(std::max(0.0, std::ceil(instancesNeeded - MinLastInstanceFraction)));
-        balance.targetCount = std::max(needed, balance.pinned) + spare;
+        // Instances with long-running tasks cannot be given up, and their free capacity is spare too.
+        balance.targetCount = std::max(needed + spare, balance.pinned);
         totalTarget += static_cast<double>(balance.targetCount);
     }
     if (totalTarget > static_cast<double>(total) && totalTarget > 0) {
@@ -152,7 +155,7 @@
                                  const std::function<bool(const InstanceView &view)> &isWanted) const
 {
     std::size_t assigned = 0;
-    for (auto view = free.begin(); view != free.end() && assigned < maxCount && decision.moves.size() < MaxMovesPerDecision;) {
+    for (auto view = free.begin(); view != free.end() && assigned < maxCount && decision.moves.size() < m_moveLimit;) {
         if (!isWanted(**view) || !mayMove(**view, pool)) {
             ++view;
             continue;
@@ -183,6 +186,7 @@
 PoolDecision PoolPlan::decide(const std::map<InstanceId, InstanceView> &instances, const std::map<std::string, PoolDemand> &pools, BootTime now)
 {
     observe(instances, pools, now);
+    m_moveLimit = std::max(MinMoveLimit, static_cast<std::size_t>(MaxMovedFraction * static_cast<double>(instances.size())));
     const std::string standby = findStandby(pools);
     std::map<std::string, Balance> balances = computeBalances(instances, pools, now);
     PoolDecision decision;
@@ -239,7 +243,7 @@
     }
     for (const InstanceView *view : free) {
         const bool inStandby = standby.empty() || view->facts.pool == standby;
-        if (!inStandby && now - m_busyAt.at(view->facts.id) >= m_times.idleTimeout && mayMove(*view, standby) && decision.moves.size() < MaxMovesPerDecision) {
+        if (!inStandby && now - m_busyAt.at(view->facts.id) >= m_times.idleTimeout && mayMove(*view, standby) && decision.moves.size() < m_moveLimit) {
             decision.moves.push_back({view->facts.id, standby});
         }
     }
--- a/libs/scheduling/tests/plantest.cpp
+++ b/libs/scheduling/tests/plantest.cpp
@@ -109,6 +109,45 @@
     BOOST_TEST(movesTo(small, "two") == 1U);
 }
 
+// Each pool has long-running tasks that need little of their instances, which are spread over many of them.
+BOOST_AUTO_TEST_CASE(freeCapacityBesideLongRunningTasksIsSpare)
+{
+    PoolPlan plan{PoolTimes{}};
+    std::map<InstanceId, InstanceView> instances = makeInstances({{"one", 20}, {"two", 20}, {"rest", 40}});
+    for (auto &[id, view] : instances) {
+        view.longRunningRuns = view.runs = view.facts.pool == "rest" ? 0 : 1;
+    }
+    std::map<std::string, PoolDemand> pools;
+    pools["one"].used = pools["two"].used = {64000, 0, 0};
+    pools["rest"].standby = true;
+    BOOST_TEST(plan.decide(instances, pools, Start).moves.empty());
+    // More spare capacity than the instances with long-running tasks have.
+    pools["one"].used = {256000, 0, 0};
+    BOOST_TEST(movesTo(plan.decide(instances, pools, Start + 1s), "one") == 6U);
+}
+
+// A surge needs the same fraction of any fleet, and must not take longer to be met in a larger one.
+BOOST_AUTO_TEST_CASE(aSurgeIsMetInAsManyDecisionsInALargeFleet)
+{
+    for (const std::size_t count : {10U, 49U, 349U, 540U, 9100U}) {
+        PoolPlan plan{PoolTimes{}};
+        std::map<InstanceId, InstanceView> instances = makeInstances({{"surge", count / 5}, {"rest", count - count / 5}});
+        std::map<std::string, PoolDemand> pools;
+        pools["surge"].offered = Capacity * static_cast<std::int64_t>(count / 2);
+        pools["rest"].standby = true;
+        std::size_t moved = 0;
+        for (int round = 0; round < 7; ++round) {
+            for (const MoveInstance &move : plan.decide(instances, pools, Start + round * 100ms).moves) {
+                InstanceView &view = instances.at(move.instance);
+                view.hasPendingOrder = true;
+                view.movingTo = move.pool;
+                ++moved;
+            }
+        }
+        BOOST_TEST(moved + count / 5 >= count / 2);
+    }
+}
+
 // A pool needs a little more than it has, and moves appear late in the control plane's list.
 BOOST_AUTO_TEST_CASE(movingInstancesAreNotOrderedAgain)
 {
