Pace waves to end well before their deadline

A plan that aims 6 s before the deadline begins with the last machines too late for that.

Change: a wave is paced to end when 60 % of its duration is over.

--- a/libs/scheduling/src/waveplan.cpp
+++ b/libs/scheduling/src/waveplan.cpp
@@ -12,6 +12,9 @@
 
 // An instance may be out of service a little longer than its maintenance takes.
 constexpr auto OutOfServiceMargin = 800ms;
+// A wave is paced to end this fraction of its duration before its deadline: how long the last long-running tasks take to move
+// depends on the other tasks of their steps, and a change of the owner interrupts the wave.
+constexpr double ReservedFraction = 0.4;
 // At most one in this many instances of a pool is emptied at a time.
 constexpr std::size_t EmptyingPoolDivisor = 3;
 
@@ -73,7 +76,8 @@
 
 std::size_t WavePlan::targetConcurrency(const std::vector<const InstanceView *> &pending, BootTime now) const
 {
-    const auto timeLeft = std::max<std::chrono::milliseconds>(500ms, m_deadline - now - 2 * m_times.forceMargin);
+    const auto reserved = std::chrono::duration_cast<std::chrono::milliseconds>(m_spec.duration * ReservedFraction);
+    const auto timeLeft = std::max<std::chrono::milliseconds>(500ms, m_deadline - now - std::max<std::chrono::milliseconds>(reserved, 2 * m_times.forceMargin));
     std::chrono::milliseconds work{0};
     for (const InstanceView *view : pending) {
         work += m_times.maintenancePeriod + m_times.emptyingPeriod + m_times.evacuationPeriod * static_cast<int>(view->longRunningRuns);
