Keep the pace of heartbeats while the store resets connections

Cause: a heartbeat that counts as unanswered was followed by the next one at once.

Change: the next heartbeat follows the sending of an unanswered one by the usual interval. The test fails with the former code.

--- a/libs/jobnode/src/jobnodeownership.cpp
+++ b/libs/jobnode/src/jobnodeownership.cpp
@@ -314,8 +314,15 @@
             rereadOwnership();
         }
     }
+    if (std::exchange(heartbeatWanted, false) && offset) {
+        scheduleHeartbeat(0ms);
+        return;
+    }
+    // After a lost answer the next heartbeat is overdue, but a connection that is reset at once must not lead to another one
+    // earlier than usual.
     const bool isUnanswered = !offset && offset.error() == StoreFailure::Unanswered;
-    scheduleHeartbeat(isUnanswered || (std::exchange(heartbeatWanted, false) && offset) ? 0ms : settings.ownershipTimes.heartbeatInterval);
+    const std::chrono::milliseconds elapsed = isUnanswered ? BootClock::now() - sentAt : 0ms;
+    scheduleHeartbeat(std::max<std::chrono::milliseconds>(0ms, settings.ownershipTimes.heartbeatInterval - elapsed));
 }
 
 // Prefers nodes with more cpu, as the owner does all the work. Among equal ones, prefers the node that was started last:
--- a/libs/jobnode/tests/jobnodetest.cpp
+++ b/libs/jobnode/tests/jobnodetest.cpp
@@ -227,3 +227,17 @@
     // The service serves one call at a time from each machine.
     BOOST_TEST(fleet.platform.maxAdviceCallsInFlightPerNode == 1);
 }
+
+// Load: the store resets every connection at once. The owner must not write heartbeats as fast as they fail.
+BOOST_AUTO_TEST_CASE(heartbeatsAreNotRepeatedAtOnceWhenConnectionsAreReset)
+{
+    NodeFixture fleet(1);
+    fleet.callUntil(fleet.owner(), JobCallKind::Submit, "0000000000000001", JobAnswerKind::Done);
+    fleet.platform.resetsOwnershipCalls = true;
+    const int before = fleet.platform.ownershipCalls;
+    const BootTime begin = BootClock::now();
+    fleet.runUntil([&] {
+        return fleet.platform.ownershipCalls >= before + 5;
+    });
+    BOOST_TEST((BootClock::now() - begin >= 4 * (OwnershipTimes{}.heartbeatInterval - 10ms)));
+}
--- a/libs/jobnode/tests/nodefleet.h
+++ b/libs/jobnode/tests/nodefleet.h
@@ -49,6 +49,10 @@
     std::array<Partition, 3> partitions;
     /** All calls to the store are refused. */
     bool isUnavailable = false;
+    /** Claims and heartbeats are not processed; their connections are reset at once, so that they are unanswered. */
+    bool resetsOwnershipCalls = false;
+    /** Number of claims and heartbeats. */
+    int ownershipCalls = 0;
     /** This many of the next batches are stored, but reported as unanswered. */
     int answersToLose = 0;
     /** This many of the next claims and heartbeats fail with a conflict. */
@@ -129,8 +133,11 @@
         port.claimOwnership
             = [this, node](const OwnershipRecord &record, std::uint64_t at, std::chrono::milliseconds, const StorePort::OffsetHandler &handler) {
                   runLater([this, node, record, at, handler] {
+                      ++ownershipCalls;
                       if (isUnavailable || node == nodeWithoutOwnershipLog) {
                           handler(tl::make_unexpected(StoreFailure::Refused));
+                      } else if (resetsOwnershipCalls) {
+                          handler(tl::make_unexpected(StoreFailure::Unanswered));
                       } else if (conflictsToReport > 0) {
                           --conflictsToReport;
                           handler(tl::make_unexpected(StoreFailure::Conflict));
