--- a/libs/httpio/src/httpclient.cpp
+++ b/libs/httpio/src/httpclient.cpp
@@ -149,7 +149,7 @@
         if (m_call.call.maySend && !m_call.call.maySend()) {
             // Deferred, because a handler must not run inside HttpClient::call().
             asio::post(client->io, [self = shared_from_this(), number = m_callNumber] {
-                if (self->m_hasCall && number == self->m_callNumber) {
+                if (!self->m_closed && self->m_hasCall && number == self->m_callNumber) {
                     self->withdraw();
                 }
             });
