Name silent workers in the record of a release

The owner was restarted at 17.1 s and released the ownership, but its release record did not list the silent workers with the rest of their leases, as its heartbeats do, so the successor waited out a whole lease again.

Ruled out: the longer wait for leases of a predecessor that did not release (this one did).

Change: the release lists the silent workers. The test fails without it.

--- a/libs/jobnode/src/jobnode.cpp
+++ b/libs/jobnode/src/jobnode.cpp
@@ -190,6 +190,8 @@
         OwnershipRecord record = self->ownRecord();
         record.released = true;
         record.recentInstanceOrders = self->recentOrders;
+        // Without these, the successor would wait out a whole lease for workers that have been silent for long.
+        record.unreachableWorkers = self->jobOwner->unreachableWorkers();
         record.successor = self->chooseSuccessor();
         self->endOwnership("released");
         self->storeRelease(record, MaxReleaseAttempts, onDone);
--- a/libs/jobnode/tests/jobnodetest.cpp
+++ b/libs/jobnode/tests/jobnodetest.cpp
@@ -241,3 +241,31 @@
     });
     BOOST_TEST((BootClock::now() - begin >= 4 * (OwnershipTimes{}.heartbeatInterval - 10ms)));
 }
+
+// A worker fell silent before the owner was restarted: its successor must not count the whole lease of that worker again.
+BOOST_AUTO_TEST_CASE(aReleaseNamesTheWorkersThatAreSilentAndTheirLeases)
+{
+    NodeFixture fleet(2);
+    fleet.platform.tasksEndAtOnce = false;
+    JobNode &owner = fleet.owner();
+    fleet.callUntil(owner, JobCallKind::Submit, "0000000000000001", JobAnswerKind::Done);
+    fleet.awaitState(owner, "0000000000000001", JobState::Running);
+    fleet.platform.workersAreSilent = true;
+    fleet.runUntil([&] {
+        return fleet.platform.ownership.back().unreachableWorkers.count("w1") != 0;
+    });
+    const std::int64_t leaseLeftMs = fleet.platform.ownership.back().unreachableWorkers.at("w1");
+    bool released = false;
+    owner.release([&] {
+        released = true;
+    });
+    fleet.runUntil([&] {
+        return released;
+    });
+    const auto release = std::find_if(fleet.platform.ownership.begin(), fleet.platform.ownership.end(), [](const OwnershipRecord &record) {
+        return record.released;
+    });
+    BOOST_REQUIRE((release != fleet.platform.ownership.end()));
+    BOOST_REQUIRE(release->unreachableWorkers.count("w1") == 1U);
+    BOOST_TEST(release->unreachableWorkers.at("w1") <= leaseLeftMs);
+}
--- a/libs/jobnode/tests/nodefleet.h
+++ b/libs/jobnode/tests/nodefleet.h
@@ -77,6 +77,8 @@
     int adviceCallsInFlight = 0;
     int maxAdviceCallsInFlight = 0;
     int maxAdviceCallsInFlightPerNode = 0;
+    /** Workers do not answer renewals of their leases. */
+    bool workersAreSilent = false;
     /** Tasks are done as soon as they are started. */
     bool tasksEndAtOnce = true;
 
@@ -248,6 +250,10 @@
         port.renewLease = [this](const WorkerFacts &, const RenewLeaseOrder &order, const SendCondition &, const WorkerPort::RenewLeaseHandler &handler) {
             runLater(
                 [this, order, handler] {
+                    if (workersAreSilent) {
+                        handler(OrderUnanswered{});
+                        return;
+                    }
                     if (order.fencingToken < highestFencingToken) {
                         handler(OrderRefusal::Fenced);
                         return;
