Extend leases for 2 s after the last confirmation instead of 3.5 s

Cause: since a successor counts the leases of a predecessor that did not release from its own fence, and no longer from the newest ownership record, it waits about 1.1 s longer for workers that it cannot reach, and long-running tasks there are down so much longer.

Change: an owner without contact to the store stops extending leases after 2 s. Runs then survive 8 s without the store (with leases of 6 s), and a successor waits as long as before the change of the count.

--- a/libs/jobnode/include/jobnode/ownershipview.h
+++ b/libs/jobnode/include/jobnode/ownershipview.h
@@ -30,7 +30,7 @@
      */
     std::chrono::milliseconds maxContactAgeForInstances{600};
     /** As maxContactAgeForOrders, for the extension of leases. Longer, so that runs survive an outage of the store. */
-    std::chrono::milliseconds maxContactAgeForLeases{3500};
+    std::chrono::milliseconds maxContactAgeForLeases{2000};
 };
 
 /** How long the node @p name with @p cpuShare cores delays a claim, so that stronger nodes claim first and others differ. */
