--- a/libs/jobnode/src/ownershipview.cpp
+++ b/libs/jobnode/src/ownershipview.cpp
@@ -8,7 +8,7 @@
 
 // Time for the named successor to store its claim, even if the store is slow, before other nodes claim too.
 constexpr std::chrono::milliseconds NamedSuccessorGrace{400};
-// A waiting read returns at least this often, so that a connection that lost its answer is noticed in time.
+// A waiting read returns at least this often, so that missing heartbeats and connections that lost an answer are noticed in time.
 constexpr std::chrono::milliseconds MaxReadWait{350};
 // Bounds the rate of reads while this node's claim is due but not possible.
 constexpr std::chrono::milliseconds MinReadWait{40};
--- a/libs/scheduling/src/poolplan.cpp
+++ b/libs/scheduling/src/poolplan.cpp
@@ -12,8 +12,8 @@
 constexpr double SpareInstanceFraction = 0.25;
 // A pool gets one more instance once its demand would fill this fraction of it.
 constexpr double MinLastInstanceFraction = 0.3;
-// Limits the moves of one decision, so that the next decision can take their effect into account: to this number, or in large
-// fleets to this fraction of the instances, so that a surge is met in the same time whatever the size of the fleet is.
+// A decision moves at most this number of instances, so that the next decision can take their effect into account. In large
+// fleets it is this fraction of the instances, so that a surge is met in the same time whatever the size of the fleet is.
 constexpr std::size_t MinMoveLimit = 12;
 constexpr double MaxMovedFraction = 0.08;
 
--- a/libs/scheduling/src/schedulerresults.cpp
+++ b/libs/scheduling/src/schedulerresults.cpp
@@ -8,7 +8,7 @@
 
 using namespace std::chrono_literals;
 
-// A worker that rejected a start gets no new work for this period.
+// A worker that rejected a start for another reason than its fencing token gets no new work for this period.
 constexpr auto RefusalAvoidPeriod = 400ms;
 
 }
