Log how the life of a worker ended, and what ran on it

On-call engineers could not tell from the logs whether a worker had crashed under its runs or had left in order, nor which runs were beside a task when that happened. The owner now writes worker-crashed or worker-left with the sign by which it knows (another worker at the address, a restart under the id), how long the worker had been silent, and the age of each run.

--- a/libs/jobnode/src/details/jobownerimpl.h
+++ b/libs/jobnode/src/details/jobownerimpl.h
@@ -70,6 +70,7 @@
         , partitionMovesTotal(context.metrics.counter("store_partition_moves_total", "Times that the jobs were moved to another partition of the store"))
         , startsTotal(context.metrics.counter("run_starts_total", "Start orders sent to workers"))
         , lostRunsTotal(context.metrics.counter("runs_lost_total", "Runs that were lost, so that it is unknown how they ended"))
+        , workerCrashesTotal(context.metrics.counter("worker_crashes_total", "Ends of workers that no order or notice explains"))
         , storeSeconds(context.metrics.latency("store_batch_seconds", "Time from handing a batch to the store to its answer"))
         , openJobs(context.metrics.gauge("jobs_open", "Jobs that are not closed"))
         , liveRuns(context.metrics.gauge("runs_live", "Runs that are or may be on workers"))
@@ -104,6 +105,7 @@
     Counter partitionMovesTotal;
     Counter startsTotal;
     Counter lostRunsTotal;
+    Counter workerCrashesTotal;
     LatencyHistogram storeSeconds;
     Gauge openJobs;
     Gauge liveRuns;
--- a/libs/jobnode/src/jobownerwork.cpp
+++ b/libs/jobnode/src/jobownerwork.cpp
@@ -158,6 +158,8 @@
     for (const SchedulerEvent &notice : scheduler.takeEvents()) {
         if (notice.name == "run-lost") {
             lostRunsTotal.increment();
+        } else if (notice.name == "worker-crashed") {
+            workerCrashesTotal.increment();
         }
         if (notice.job.empty()) {
             logChange("owner", notice.name, {{"worker", notice.worker}, {"detail", notice.detail}});
--- a/libs/scheduling/include/scheduling/workersession.h
+++ b/libs/scheduling/include/scheduling/workersession.h
@@ -67,6 +67,11 @@
     StopProgress stop = StopProgress::NotWanted;
     bool longRunning = false;
     bool bestEffort = false;
+    /** Whether the start order may have reached the worker. */
+    bool mayHaveStarted() const
+    {
+        return start != StartProgress::Unstored && start != StartProgress::Due;
+    }
     /** The worker confirmed the start, and the run did not resume from a checkpoint: its run time is representative. */
     bool observedFromStart = false;
 };
@@ -110,7 +115,10 @@
     void updateClock(std::int64_t clockMs, BootTime now);
     /** Must be called once for each order of nextLeaseRenewal(), whatever its result is. */
     void handleLeaseRenewalEnded(const RenewLeaseOrder &order);
-    void markUnreachable(BootTime now);
+    /** The worker stopped answering; @p silentSince is when that began, if it is known better than from the latest answer. */
+    void markUnreachable(BootTime now, std::optional<BootTime> silentSince = std::nullopt);
+    /** The worker's present life is about to end by an order of this system, so its end is not a crash. */
+    void expectEnd();
     /** An order that extends the lease is being sent. */
     void recordLeaseExtension(BootTime now);
     /** Acknowledges the ends up to @p number once batch @p batch is stored. */
@@ -136,6 +144,12 @@
     std::optional<std::int64_t> leaseUntil(BootTime now) const;
     bool isReachable() const;
     bool isRegistered() const;
+    /** The present life of the worker is to end in order: it is draining, or this system ordered its end. */
+    bool isEndExpected() const;
+    /** Whether @p listing comes from a later life of the worker than the former listings. */
+    bool isLaterLife(const Listing &listing) const;
+    /** While the worker is unreachable: since when; otherwise the time of its latest answer. */
+    BootTime aliveUntil() const;
     bool isLeaseExtensionSuspended() const;
     /** The worker answered a renewal with the current fencing token: all orders with older tokens are void. */
     bool isConfirmed() const;
@@ -180,6 +194,8 @@
     bool m_reachable = true;
     bool m_confirmed = false;
     bool m_leaseExtensionSuspended = false;
+    bool m_endExpected = false;
+    BootTime m_aliveUntil{};
     std::int64_t m_startTimeMs = 0;
     bool m_clockKnown = false;
     /** The worker's own clock as of m_clockAt. */
--- a/libs/scheduling/src/details/schedulerimpl.h
+++ b/libs/scheduling/src/details/schedulerimpl.h
@@ -154,6 +154,8 @@
     void markRunLost(WorkerSession &session, const TaskName &task, std::int64_t wallMs, std::string_view reason);
     /** Stops the other members of the gang to which @p task belonged in run @p run. */
     void stopGangMembers(const JobEntry &entry, const TaskName &task, std::uint32_t run, std::int64_t wallMs);
+    /** The present life of the worker is over, and with it all runs; @p sign tells how that is known. */
+    void handleWorkerEnd(WorkerSession &session, std::string_view sign, BootTime now);
     void markAllRunsLost(WorkerSession &session, std::int64_t wallMs, std::string_view reason);
     void requestStop(WorkerSession &session, const TaskName &task, std::string_view reason);
     bool isWithinDisruptionBudget(const TaskName &task);
--- a/libs/scheduling/src/scheduler.cpp
+++ b/libs/scheduling/src/scheduler.cpp
@@ -217,6 +217,7 @@
     const auto found = m_impl->workers.find(worker);
     if (found != m_impl->workers.end()) {
         found->second.setRegistered(false);
+        found->second.expectEnd();
         found->second.requestListing(now);
     }
 }
--- a/libs/scheduling/src/schedulerresults.cpp
+++ b/libs/scheduling/src/schedulerresults.cpp
@@ -10,6 +10,9 @@
 
 // A worker that rejected a start for another reason than its fencing token gets no new work for this period.
 constexpr auto RefusalAvoidPeriod = 400ms;
+// A renewal that fails earlier than this after the end of its wait did not time out: its connection broke, which tells when the
+// worker fell silent. Below OrderTimes::leaseRenewalMargin.
+constexpr auto MaxBrokenRenewalTime = 200ms;
 
 }
 
@@ -156,6 +159,7 @@
             return;
         }
         if (*refusal == OrderRefusal::OtherInstance) {
+            impl.handleWorkerEnd(session, "another worker answers at its address", now);
             impl.markAllRunsLost(session, wallMs, "other-instance");
             session.setRegistered(false);
         }
@@ -166,7 +170,8 @@
     if (session.isReachable()) {
         impl.emitEvent("worker-unreachable", {}, 0, order.worker, std::to_string(session.runs().size()) + " runs");
     }
-    session.markUnreachable(now);
+    const bool connectionBroke = std::holds_alternative<OrderUnanswered>(result) && now - sentAt < order.wait + MaxBrokenRenewalTime;
+    session.markUnreachable(now, connectionBroke ? std::optional(now) : std::nullopt);
 }
 
 void Scheduler::Impl::applyListing(
@@ -176,6 +181,9 @@
         emitEvent("worker-reached", {}, 0, order.worker, "start time " + std::to_string(listing.startTimeMs));
         placementNeeded = true;
     }
+    if (session.isLaterLife(listing)) {
+        handleWorkerEnd(session, "restarted under its id", now);
+    }
     session.handleListing(listing, order.fencingToken, now);
     for (const ListedEnd &end : listing.ended) {
         applyEnd(session, end, now, wallMs);
@@ -331,6 +339,7 @@
         session.markUnreachable(now);
         break;
     case OrderRefusal::OtherInstance:
+        impl.handleWorkerEnd(session, "another worker answers at its address", now);
         impl.markAllRunsLost(session, wallMs, "other-instance");
         session.setRegistered(false);
         session.markUnreachable(now);
--- a/libs/scheduling/src/workersession.cpp
+++ b/libs/scheduling/src/workersession.cpp
@@ -47,9 +47,16 @@
         m_confirmed = false;
         requestListing(now);
     }
+    const bool isPresentLife = m_startTimeMs == 0 || facts.startTimeMs == m_startTimeMs;
+    m_endExpected = m_endExpected || (isPresentLife && facts.state == WorkerState::Draining);
     m_facts = facts;
 }
 
+void WorkerSession::expectEnd()
+{
+    m_endExpected = true;
+}
+
 void WorkerSession::setRegistered(bool registered)
 {
     m_registered = registered;
@@ -104,7 +111,9 @@
 
 void WorkerSession::handleListing(const Listing &listing, std::uint64_t token, BootTime now)
 {
+    m_aliveUntil = now;
     if (listing.startTimeMs != m_startTimeMs) {
+        m_endExpected = m_startTimeMs == 0 ? m_endExpected : m_facts.startTimeMs == listing.startTimeMs && m_facts.state == WorkerState::Draining;
         // A new incarnation numbers its ends anew.
         m_startTimeMs = listing.startTimeMs;
         m_acknowledgedEnd = 0;
@@ -123,6 +132,7 @@
 
 void WorkerSession::updateClock(std::int64_t clockMs, BootTime now)
 {
+    m_aliveUntil = now;
     const std::int64_t expected = m_clockMs + (now - m_clockAt).count();
     if (!m_clockKnown || clockMs > expected || now - m_clockAt > LongPollPeriod) {
         m_clockMs = clockMs;
@@ -137,8 +147,11 @@
     (m_probeInFlight && order.fencingToken >= m_probeToken ? m_probeInFlight : m_renewalInFlight) = false;
 }
 
-void WorkerSession::markUnreachable(BootTime now)
+void WorkerSession::markUnreachable(BootTime now, std::optional<BootTime> silentSince)
 {
+    if (m_reachable) {
+        m_aliveUntil = std::max(m_aliveUntil, silentSince.value_or(m_aliveUntil));
+    }
     // The first failure may be caused by a stale connection, so the renewal is retried at once.
     m_nextRenewalAt = m_reachable ? now : now + UnreachableRetryInterval;
     m_reachable = false;
@@ -230,6 +243,21 @@
     return m_registered;
 }
 
+bool WorkerSession::isEndExpected() const
+{
+    return m_endExpected;
+}
+
+bool WorkerSession::isLaterLife(const Listing &listing) const
+{
+    return m_startTimeMs != 0 && listing.startTimeMs != m_startTimeMs;
+}
+
+BootTime WorkerSession::aliveUntil() const
+{
+    return m_aliveUntil;
+}
+
 bool WorkerSession::isLeaseExtensionSuspended() const
 {
     return m_leaseExtensionSuspended;
