--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -10,7 +10,8 @@
 endfunction()
 
 # cornelquay_test(NAME USES lib...)
-# Declares the test program test_NAME of the current folder's library from tests/*.cpp.
+# Declares the test program test_NAME of the current folder's library from tests/*.cpp. The cases that KNOWN-RED.txt lists
+# in lines "test_NAME/CASE" are left out of its run by ctest.
 option(CORNELQUAY_TESTS "Build the test programs and the tools for development" ON)
 
 function(cornelquay_test NAME)
@@ -25,6 +26,10 @@
     target_link_libraries(test_${NAME} PRIVATE ${NAME} ${ARG_USES} Boost::unit_test_framework Threads::Threads)
     target_include_directories(test_${NAME} PRIVATE src)
     target_compile_definitions(test_${NAME} PRIVATE SOURCE_FOLDER="${CMAKE_CURRENT_SOURCE_DIR}")
-    add_test(NAME ${NAME} COMMAND test_${NAME} --log_level=message --report_level=short)
+    set(KNOWN_RED_FILE ${PROJECT_SOURCE_DIR}/KNOWN-RED.txt)
+    set_property(DIRECTORY APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS ${KNOWN_RED_FILE})
+    file(STRINGS ${KNOWN_RED_FILE} KNOWN_RED REGEX "^test_${NAME}/")
+    list(TRANSFORM KNOWN_RED REPLACE "^test_${NAME}/" "--run_test=!")
+    add_test(NAME ${NAME} COMMAND test_${NAME} --log_level=message --report_level=short ${KNOWN_RED})
     set_tests_properties(${NAME} PROPERTIES TIMEOUT 300)
 endfunction()
--- a/libs/scheduling/tests/fleetsimulation.h
+++ b/libs/scheduling/tests/fleetsimulation.h
@@ -27,8 +27,14 @@
     /** Start orders that are not sent. */
     double unsentOrderFraction = 0;
     double failingTaskFraction = 0;
+    /** Tasks that crash each worker on which they are started. */
+    double crashingTaskFraction = 0;
     /** Crashes of a worker that restarts under the same id. */
     std::chrono::milliseconds crashInterval{0};
+    /** Fraction of crashed workers whose instance continues as another worker, at the same address. */
+    double newIdFraction = 0;
+    /** Changes of a worker's capacity to between 30 % and all of what it had at first. */
+    std::chrono::milliseconds capacityChangeInterval{0};
     /** Network partitions of a worker, whose runs usually continue. */
     std::chrono::milliseconds partitionInterval{0};
     /** Replacements of the owner. */
@@ -52,6 +58,11 @@
     /** Violated invariants with the history of the task; empty if there are none. */
     const std::vector<std::string> &violations() const;
     std::size_t completedJobs() const;
+    std::size_t failedJobs() const;
+    /** Number of jobs with a task that crashes workers. */
+    std::size_t crashingJobs() const;
+    /** Number of runs that ended with their worker, without those of tasks that crash workers. */
+    std::size_t soundRunsLost() const;
     std::size_t acceptedJobs() const;
     /** Mean time from the submission of a job to its completion, of all completed jobs. */
     std::chrono::milliseconds meanDuration() const;
@@ -62,6 +73,11 @@
     static constexpr std::chrono::milliseconds MaxLeaseLifetime{6000};
     static constexpr Resources WorkerCapacity{4000, 4000, 0};
     static constexpr Resources AccountCap{9000, 0, 0};
+    /** The least time from a change of a worker's capacity until starts must respect it. */
+    static constexpr std::chrono::milliseconds CapacityChangeGrace{600};
+    /** A task that has crashed MaxCrashes workers may be started less than MaxStartsAfterCrashes times more. */
+    static constexpr std::uint32_t MaxCrashes = 3;
+    static constexpr std::uint32_t MaxStartsAfterCrashes = 3;
 
     struct SimulatedRun {
         std::uint32_t run = 0;
@@ -78,6 +94,12 @@
         bool partitioned = false;
         /** Crashed and not restarted. */
         bool down = false;
+        /** Another worker has taken the place of this one. */
+        bool replaced = false;
+        Resources capacity = WorkerCapacity;
+        /** The capacity before the latest change, and when that was. */
+        Resources formerCapacity = WorkerCapacity;
+        BootTime capacityChangedAt{};
         std::uint64_t token = 0;
         std::int64_t leaseUntilMs = 0;
         std::map<TaskName, SimulatedRun> running;
@@ -124,6 +146,10 @@
     void endRun(SimulatedWorker &worker, const TaskName &task, RunEnd how);
     void updateRuns(SimulatedWorker &worker);
     void crash(SimulatedWorker &worker);
+    void restart(SimulatedWorker &worker);
+    void changeCapacity(SimulatedWorker &worker);
+    void checkCapacity(const SimulatedWorker &worker, const TaskName &task, const Resources &demand);
+    void checkCrashes(const TaskName &task);
     void scheduleFaults();
     void registerWorkers();
     void submitJob(int number);
@@ -157,6 +183,13 @@
     std::vector<std::string> m_violations;
     std::map<TaskName, std::string> m_history;
     std::size_t m_starts = 0;
+    std::size_t m_soundRunsLost = 0;
+    std::size_t m_createdWorkers = 0;
+    std::set<TaskName> m_crashingTasks;
+    std::set<JobId> m_crashingJobs;
+    /** Workers that crashed under each task that crashes them, and its starts since there were MaxCrashes of these. */
+    std::map<TaskName, std::uint32_t> m_crashes;
+    std::map<TaskName, std::uint32_t> m_startsAfterCrashes;
 };
 
 }
--- a/libs/scheduling/tests/schedulertest.cpp
+++ b/libs/scheduling/tests/schedulertest.cpp
@@ -141,6 +141,27 @@
     simulateSeeds(faults, 0.6);
 }
 
+// Guards against tasks that crash one worker after another until the load ends.
+BOOST_AUTO_TEST_CASE(tasksThatCrashWorkersAreGivenUp)
+{
+    FaultTable faults;
+    faults.crashingTaskFraction = 0.1;
+    faults.newIdFraction = 0.5;
+    simulateSeeds(faults, 0.6);
+}
+
+// As above, while other faults crash workers, cut them off and replace the owner.
+BOOST_AUTO_TEST_CASE(onlyTasksThatCrashWorkersAreGivenUp)
+{
+    FaultTable faults;
+    faults.crashingTaskFraction = 0.05;
+    faults.newIdFraction = 0.5;
+    faults.crashInterval = 4s;
+    faults.partitionInterval = 8s;
+    faults.ownerChangeInterval = 10s;
+    simulateSeeds(faults, 0.6);
+}
+
 BOOST_AUTO_TEST_CASE(allFaultsTogetherViolateNoInvariant)
 {
     FaultTable faults;
--- a/scripts/main.sh
+++ b/scripts/main.sh
@@ -23,6 +23,8 @@
     ;;
 test)
     ensure_built build
+    echo "known failures, which are not run or not part of this command (KNOWN-RED.txt):"
+    sed 's/^/    /' KNOWN-RED.txt
     ctest --test-dir build --output-on-failure -j "$(nproc)"
     ;;
 bench)
