Give up tasks that crash the workers that start them

What callers saw: a job with such a task was never shown as failed. Its task was started again until the traffic ended, every 3.4 s on another worker, up to 14 times after the third crash, and each start took the runs beside it along.

Cause: an end that no worker lists was not held against any task. Ruled out: a count lost with an owner (one owner made all twelve starts), and a crash taken for another kind of end (tasks of workers that restart under their id go on alike; the simulated fleet shows it).

Change: - The record of a job counts the crashes under each unfinished task, with the names of the workers and the runs lost beside it, so that a successor goes on counting. It also keeps address and start of the workers of placed tasks: a successor asks workers that have left the registry, and learns from the answer that the life in which the run was placed is over. - A crash is known from a later life of the worker or another worker at its address, unless the worker was draining or this system ordered its end. A lost lease is none; the worker is asked on for 10 s to learn what it was. - A crash among runs of several jobs convicts none of them. Tasks that had just been started are suspects, and are started on a worker that runs nothing of other jobs; sound ones end there and are free of suspicion. A part of a pool is kept for that at a time. - A job fails after two crashes if the second met it isolated, right after its start, in a fleet in which no worker fell silent by itself for 8 s; after two isolated ones at a start or three others in a less quiet fleet; and after five losses of any kind, which is what the platform allows.

--- a/libs/jobnode/src/details/jobownerimpl.h
+++ b/libs/jobnode/src/details/jobownerimpl.h
@@ -71,6 +71,10 @@
         , startsTotal(context.metrics.counter("run_starts_total", "Start orders sent to workers"))
         , lostRunsTotal(context.metrics.counter("runs_lost_total", "Runs that were lost, so that it is unknown how they ended"))
         , workerCrashesTotal(context.metrics.counter("worker_crashes_total", "Ends of workers that no order or notice explains"))
+        , jobsGivenUpTotal(context.metrics.counter("jobs_given_up_total", "Jobs that failed because one of their tasks crashes its workers"))
+        , runsLostBesideTotal(
+              context.metrics.counter("runs_lost_beside_total", "Runs of other tasks that were lost with the workers that jobs given up crashed"))
+        , giveUpSeconds(context.metrics.latency("job_give_up_seconds", "Time from the receipt of a job that is given up to its failure"))
         , storeSeconds(context.metrics.latency("store_batch_seconds", "Time from handing a batch to the store to its answer"))
         , openJobs(context.metrics.gauge("jobs_open", "Jobs that are not closed"))
         , liveRuns(context.metrics.gauge("runs_live", "Runs that are or may be on workers"))
@@ -106,6 +110,9 @@
     Counter startsTotal;
     Counter lostRunsTotal;
     Counter workerCrashesTotal;
+    Counter jobsGivenUpTotal;
+    Counter runsLostBesideTotal;
+    LatencyHistogram giveUpSeconds;
     LatencyHistogram storeSeconds;
     Gauge openJobs;
     Gauge liveRuns;
--- a/libs/jobnode/src/jobownerwork.cpp
+++ b/libs/jobnode/src/jobownerwork.cpp
@@ -160,6 +160,10 @@
             lostRunsTotal.increment();
         } else if (notice.name == "worker-crashed") {
             workerCrashesTotal.increment();
+        } else if (notice.name == "job-given-up") {
+            jobsGivenUpTotal.increment();
+            runsLostBesideTotal.increment(notice.runsLostBeside);
+            giveUpSeconds.observe(std::chrono::duration<double>(notice.jobAge).count());
         }
         if (notice.job.empty()) {
             logChange("owner", notice.name, {{"worker", notice.worker}, {"detail", notice.detail}});
--- a/libs/jobs/include/jobs/job.h
+++ b/libs/jobs/include/jobs/job.h
@@ -31,6 +31,10 @@
     {
         return std::tie(occurrence, step, index) < std::tie(other.occurrence, other.step, other.index);
     }
+    auto fields()
+    {
+        return std::tie(occurrence, step, index);
+    }
 };
 
 /** Identifies a task among the tasks of all jobs. */
@@ -101,6 +105,63 @@
     bool operator==(const Task &) const = default;
 };
 
+/** When in a run its worker crashed. */
+enum class CrashMoment : std::uint8_t {
+    /** The worker fell silent right after it was told to start the task. */
+    Startup,
+    Later,
+    /** A former owner started the run, and its worker has not answered since. */
+    Unknown,
+};
+
+/** What is known of a worker's crash while it ran a task. */
+struct CrashEvidence {
+    CrashMoment moment = CrashMoment::Unknown;
+    /** The task was suspected, and the worker ran nothing else that may have caused the crash than tasks of the same job. */
+    bool isolated = false;
+    /** Apart from workers that crashed right after a start, no worker has fallen silent lately. */
+    bool quietFleet = false;
+};
+
+/** Crashes of workers while they ran a task that is not finished. */
+struct TaskCrashes {
+    TaskRef task;
+    /** Crashes right after a start of the task. */
+    std::uint32_t duringStartup = 0;
+    /** Crashes at other or unknown moments. */
+    std::uint32_t later = 0;
+    /** The crashes of the two kinds with CrashEvidence::isolated, each of a worker that had not crashed under the task before. */
+    std::uint32_t isolatedDuringStartup = 0;
+    std::uint32_t isolatedLater = 0;
+    /** Times that a worker fell silent, maybe right after a start of the task, until its lease was over, and may have crashed. */
+    std::uint32_t unexplained = 0;
+    /** Runs of other tasks that ended with the same workers. */
+    std::uint32_t runsLostBeside = 0;
+    /** The workers that crashed. */
+    std::vector<WorkerId> workers;
+
+    auto fields()
+    {
+        return std::tie(task, duringStartup, later, isolatedDuringStartup, isolatedLater, unexplained, runsLostBeside, workers);
+    }
+    bool operator==(const TaskCrashes &) const = default;
+};
+
+/** The life of a worker in which tasks were placed on it. */
+struct WorkerLife {
+    WorkerId worker;
+    /** Where the worker took orders; a later worker at this address shows that the life is over. */
+    std::string address;
+    /** Start of the life in milliseconds since 1970; 0 if unknown. A later start under the same id shows that the life is over. */
+    std::int64_t startTimeMs = 0;
+
+    auto fields()
+    {
+        return std::tie(worker, address, startTimeMs);
+    }
+    bool operator==(const WorkerLife &) const = default;
+};
+
 /** The settings that a job takes from its queue, as of the latest configuration that contains the queue. */
 struct QueueTerms {
     /** The pool whose workers run the tasks. */
@@ -154,12 +215,19 @@
     std::uint32_t nextOccurrence = 0;
     /** Occurrences that are opened and not finished. A job without recurrence keeps its only one when it is finished. */
     std::vector<Occurrence> occurrences;
+    /** The workers of the placed tasks, and possibly of some that are not placed any more. */
+    std::vector<WorkerLife> workers;
+    /** Tasks under which workers crashed. */
+    std::vector<TaskCrashes> crashes;
 
     auto fields()
     {
-        return std::tie(id, queue, account, submittedMs, closedMs, state, hasStarted, terms, spec, nextOccurrence, occurrences);
+        return std::tie(id, queue, account, submittedMs, closedMs, state, hasStarted, terms, spec, nextOccurrence, occurrences, workers, crashes);
     }
     bool operator==(const JobRecord &) const = default;
+
+    /** The life of @p worker in which tasks of the job were placed, without address and start if it is not known. */
+    WorkerLife lifeOf(const WorkerId &worker) const;
 };
 
 /** Effect of the end of a run on its task and its job. */
@@ -219,6 +287,21 @@
      * a member of a gang that is not long-running is finished instead if another member has finished the same run.
      */
     EndOutcome loseRun(const TaskRef &ref, std::uint32_t run, std::int64_t wallMs);
+    /**
+     * Counts a crash of @p worker under a run of the task. The job fails, also if the task is long-running, once the crashes
+     * show that the task causes them: two while it was isolated and had just been started, or one such after another crash
+     * while the fleet was quiet, three while it was isolated, or four right after its start. Sound tasks that ran beside it
+     * are not blamed, since their later runs are isolated from it. After five crashes or unexplained losses the job fails in any case.
+     */
+    EndOutcome countCrash(const TaskRef &ref, const WorkerId &worker, const CrashEvidence &evidence, std::uint32_t runsLostBeside, std::int64_t wallMs);
+    /** A worker fell silent for good, maybe right after it was told to start the task, and may have crashed. See countCrash(). */
+    EndOutcome countUnexplainedLoss(const TaskRef &ref, const WorkerId &worker, std::int64_t wallMs);
+    /** What became of the worker of an unexplained loss is known now. */
+    void explainLoss(const TaskRef &ref);
+    /** Keeps @p life for the next owner, which needs it to learn what became of the worker. To be called with each placement. */
+    void noteWorker(const WorkerLife &life);
+    /** Forgets the crashes under the task, because it has proved to be sound. */
+    void clearCrashes(const TaskRef &ref);
     /**
      * Keeps @p checkpoint for the next run. Returns false, without a change, if the run is not the current one
      * or @p checkpoint is empty or already kept.
@@ -245,12 +328,19 @@
     /** When the next occurrence is due, in wall-clock milliseconds since 1970; nothing if the job is closed or does not recur, or if none remains. */
     std::optional<std::int64_t> nextDueMs() const;
     bool hasPlacedTasks() const;
+    /** Null if no worker crashed under the task. Valid until the next command. */
+    const TaskCrashes *findCrashes(const TaskRef &ref) const;
+    /** Whether the task may crash its next worker too, so that it should not run beside others. */
+    bool isCrashSuspect(const TaskRef &ref) const;
 
 private:
     Task *task(const TaskRef &ref);
     EndOutcome restart(Task &task, const std::string &checkpoint);
     EndOutcome fail(const TaskRef &ref, Task &task, std::int64_t wallMs);
     std::uint32_t countFailures(const TaskRef &ref) const;
+    /** The crashes under an unfinished task of an open job, counted from now on if there were none; null if there is no such task. */
+    TaskCrashes *crashesOf(const TaskRef &ref);
+    EndOutcome judgeCrashes(const TaskCrashes &crashes, bool isConvicted, std::int64_t wallMs);
     bool isGangDone(const TaskRef &ref, std::uint32_t run) const;
     void finish(const TaskRef &ref, Task &task, std::int64_t wallMs);
 
--- a/libs/jobs/include/jobs/jobcodec.h
+++ b/libs/jobs/include/jobs/jobcodec.h
@@ -9,7 +9,7 @@
 namespace Cornelquay {
 
 /** Version of the encoding that encodeJob() writes. */
-constexpr std::uint32_t JobRecordVersion = 1;
+constexpr std::uint32_t JobRecordVersion = 2;
 
 /** Encodes a job's record for the store. Thread-safe. */
 std::string encodeJob(const JobRecord &record);
--- a/libs/jobs/src/job.cpp
+++ b/libs/jobs/src/job.cpp
@@ -2,12 +2,28 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
 #include <stdexcept>
 
 namespace Cornelquay {
 
 namespace {
 
+// The platform allows to give a task up after this many crashes under it.
+constexpr std::uint32_t MinCrashes = 2;
+// What an isolated crash weighs, and the weight at which the task is taken for its cause. A crash that does not follow the start of
+// the task is more likely to have another cause.
+constexpr std::uint32_t StartupCrashWeight = 3;
+constexpr std::uint32_t LaterCrashWeight = 2;
+constexpr std::uint32_t MaxIsolatedWeight = 6;
+// Bounds the crashes under a task that cannot be isolated, for instance a member of a gang. A sound task would have to meet this many
+// crashes that it did not cause, each just after one of its starts.
+constexpr std::uint32_t MaxStartupCrashes = 4;
+// Bounds the crashes whatever is known of them. The platform allows less than three starts after the third crash.
+constexpr std::uint32_t MaxCrashes = 5;
+// Crashes that do not follow the start of a task often have another cause, so one of them arouses no suspicion.
+constexpr std::uint32_t SuspiciousLaterCrashes = 2;
+
 constexpr std::array<std::string_view, 5> StateNames = {"queued", "running", "completed", "failed", "cancelled"};
 constexpr std::array<std::string_view, 6> EndNames = {"done", "failed", "stopped", "lapsed", "broken", "alone"};
 
@@ -37,6 +53,14 @@
     return EndNames.at(static_cast<std::size_t>(end));
 }
 
+WorkerLife JobRecord::lifeOf(const WorkerId &worker) const
+{
+    const auto found = std::find_if(workers.begin(), workers.end(), [&](const WorkerLife &life) {
+        return life.worker == worker;
+    });
+    return found == workers.end() ? WorkerLife{worker, {}, 0} : *found;
+}
+
 Job::Job(JobRecord record)
     : m_record(std::move(record))
 {
@@ -126,6 +150,103 @@
     return restart(*found, {});
 }
 
+EndOutcome Job::countCrash(const TaskRef &ref, const WorkerId &worker, const CrashEvidence &evidence, std::uint32_t runsLostBeside, std::int64_t wallMs)
+{
+    TaskCrashes *crashes = crashesOf(ref);
+    if (crashes == nullptr) {
+        return EndOutcome::Ignored;
+    }
+    const bool duringStartup = evidence.moment == CrashMoment::Startup;
+    ++(duringStartup ? crashes->duringStartup : crashes->later);
+    // A worker that crashes again may be at fault itself.
+    const bool isOtherWorker = std::find(crashes->workers.begin(), crashes->workers.end(), worker) == crashes->workers.end();
+    const bool convicts = evidence.isolated && isOtherWorker;
+    if (convicts) {
+        ++(duringStartup ? crashes->isolatedDuringStartup : crashes->isolatedLater);
+    }
+    crashes->runsLostBeside += runsLostBeside;
+    crashes->workers.push_back(worker);
+    const bool isRepeated = crashes->duringStartup + crashes->later >= MinCrashes;
+    return judgeCrashes(*crashes, convicts && duringStartup && evidence.quietFleet && isRepeated, wallMs);
+}
+
+EndOutcome Job::countUnexplainedLoss(const TaskRef &ref, const WorkerId &worker, std::int64_t wallMs)
+{
+    TaskCrashes *crashes = crashesOf(ref);
+    if (crashes == nullptr) {
+        return EndOutcome::Ignored;
+    }
+    ++crashes->unexplained;
+    crashes->workers.push_back(worker);
+    return judgeCrashes(*crashes, false, wallMs);
+}
+
+void Job::explainLoss(const TaskRef &ref)
+{
+    if (findCrashes(ref) == nullptr) {
+        return;
+    }
+    TaskCrashes *crashes = crashesOf(ref);
+    if (crashes != nullptr && crashes->unexplained > 0) {
+        --crashes->unexplained;
+    }
+}
+
+TaskCrashes *Job::crashesOf(const TaskRef &ref)
+{
+    const Task *found = findTask(ref);
+    if (found == nullptr || found->phase == TaskPhase::Finished || !isOpen()) {
+        return nullptr;
+    }
+    const auto known = std::find_if(m_record.crashes.begin(), m_record.crashes.end(), [&](const TaskCrashes &entry) {
+        return entry.task == ref;
+    });
+    if (known != m_record.crashes.end()) {
+        return &*known;
+    }
+    TaskCrashes &added = m_record.crashes.emplace_back();
+    added.task = ref;
+    return &added;
+}
+
+EndOutcome Job::judgeCrashes(const TaskCrashes &crashes, bool isConvicted, std::int64_t wallMs)
+{
+    const std::uint32_t isolatedWeight = crashes.isolatedDuringStartup * StartupCrashWeight + crashes.isolatedLater * LaterCrashWeight;
+    const std::uint32_t total = crashes.duringStartup + crashes.later + crashes.unexplained;
+    if (!isConvicted && isolatedWeight < MaxIsolatedWeight && crashes.duringStartup < MaxStartupCrashes && total < MaxCrashes) {
+        return EndOutcome::TaskWaiting;
+    }
+    m_record.state = JobState::Failed;
+    m_record.closedMs = wallMs;
+    return EndOutcome::JobFailed;
+}
+
+void Job::noteWorker(const WorkerLife &life)
+{
+    if (std::find(m_record.workers.begin(), m_record.workers.end(), life) != m_record.workers.end()) {
+        return;
+    }
+    std::set<WorkerId> placedOn;
+    for (const Occurrence &occurrence : m_record.occurrences) {
+        for (const std::vector<Task> &tasks : occurrence.steps) {
+            for (const Task &task : tasks) {
+                placedOn.insert(task.worker);
+            }
+        }
+    }
+    std::erase_if(m_record.workers, [&](const WorkerLife &known) {
+        return known.worker == life.worker || placedOn.count(known.worker) == 0;
+    });
+    m_record.workers.push_back(life);
+}
+
+void Job::clearCrashes(const TaskRef &ref)
+{
+    std::erase_if(m_record.crashes, [&](const TaskCrashes &entry) {
+        return entry.task == ref;
+    });
+}
+
 EndOutcome Job::restart(Task &task, const std::string &checkpoint)
 {
     task.phase = TaskPhase::Waiting;
@@ -172,6 +293,7 @@
 {
     task.phase = TaskPhase::Finished;
     task.checkpoint.clear();
+    clearCrashes(ref);
     if (!isFinished(*findOccurrence(ref.occurrence))) {
         return;
     }
@@ -277,6 +399,20 @@
     return recurrence.firstDueMs + static_cast<std::int64_t>(m_record.nextOccurrence) * recurrence.intervalMs;
 }
 
+const TaskCrashes *Job::findCrashes(const TaskRef &ref) const
+{
+    const auto found = std::find_if(m_record.crashes.begin(), m_record.crashes.end(), [&](const TaskCrashes &entry) {
+        return entry.task == ref;
+    });
+    return found == m_record.crashes.end() ? nullptr : &*found;
+}
+
+bool Job::isCrashSuspect(const TaskRef &ref) const
+{
+    const TaskCrashes *crashes = findCrashes(ref);
+    return crashes != nullptr && (crashes->duringStartup > 0 || crashes->later + crashes->unexplained >= SuspiciousLaterCrashes);
+}
+
 bool Job::hasPlacedTasks() const
 {
     for (const Occurrence &occurrence : m_record.occurrences) {
--- a/libs/jobs/tests/jobstest.cpp
+++ b/libs/jobs/tests/jobstest.cpp
@@ -184,11 +184,98 @@
     BOOST_TEST(chains[3] == 100);
 }
 
+BOOST_AUTO_TEST_CASE(crashesOfIsolatedTasksFailTheJob)
+{
+    const TaskRef task{0, 0, 0};
+    const auto crashesUntilFailure = [&](const CrashEvidence &evidence, std::uint32_t before) {
+        Job job = makeJob({makeStep(1)});
+        for (std::uint32_t crash = 0; crash < before; ++crash) {
+            job.countCrash(task, "w", {CrashMoment::Startup, false, false}, 0, Now);
+        }
+        std::uint32_t crashes = before;
+        while (job.isOpen() && crashes < 20) {
+            ++crashes;
+            job.countCrash(task, "w" + std::to_string(crashes), evidence, 0, Now);
+        }
+        return crashes;
+    };
+    BOOST_TEST(crashesUntilFailure({CrashMoment::Startup, true, true}, 1) == 2U);
+    BOOST_TEST(crashesUntilFailure({CrashMoment::Startup, true, false}, 1) == 3U);
+    BOOST_TEST(crashesUntilFailure({CrashMoment::Later, true, true}, 1) == 4U);
+    BOOST_TEST(crashesUntilFailure({CrashMoment::Startup, false, true}, 0) == 4U);
+    BOOST_TEST(crashesUntilFailure({CrashMoment::Unknown, false, false}, 0) == 5U);
+    // One crash is never enough.
+    BOOST_TEST(crashesUntilFailure({CrashMoment::Startup, true, true}, 0) == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(aWorkerThatCrashesAgainConvictsNoTask)
+{
+    Job job = makeJob({makeStep(1)});
+    for (int crash = 0; crash < 3; ++crash) {
+        job.countCrash({0, 0, 0}, "w", {CrashMoment::Startup, true, true}, 0, Now);
+    }
+    BOOST_TEST(job.isOpen());
+    job.countCrash({0, 0, 0}, "w", {CrashMoment::Startup, true, true}, 0, Now);
+    BOOST_TEST((job.record().state == JobState::Failed));
+}
+
+BOOST_AUTO_TEST_CASE(aTaskIsSuspectedAfterACrashAtItsStartOrTwoOthers)
+{
+    Job job = makeJob({makeStep(3)});
+    job.countCrash({0, 0, 0}, "w", {CrashMoment::Startup, false, false}, 0, Now);
+    job.countCrash({0, 0, 1}, "w", {CrashMoment::Later, false, false}, 0, Now);
+    BOOST_TEST(job.isCrashSuspect({0, 0, 0}));
+    BOOST_TEST(!job.isCrashSuspect({0, 0, 1}));
+    job.countUnexplainedLoss({0, 0, 1}, "x", Now);
+    BOOST_TEST(job.isCrashSuspect({0, 0, 1}));
+    job.explainLoss({0, 0, 1});
+    BOOST_TEST(!job.isCrashSuspect({0, 0, 1}));
+    BOOST_TEST(!job.isCrashSuspect({0, 0, 2}));
+}
+
+BOOST_AUTO_TEST_CASE(aFinishedTaskIsFreeOfSuspicion)
+{
+    Job job = makeJob({makeStep(2)});
+    job.countCrash({0, 0, 0}, "w", {CrashMoment::Startup, false, false}, 0, Now);
+    job.endRun({0, 0, 0}, job.place({0, 0, 0}, "w"), RunEnd::Done, "", Now);
+    BOOST_TEST(job.record().crashes.empty());
+    BOOST_TEST((job.countCrash({0, 0, 0}, "w", {CrashMoment::Startup, true, true}, 0, Now) == EndOutcome::Ignored));
+}
+
+BOOST_AUTO_TEST_CASE(aJobThatWasGivenUpOpensNoFurtherOccurrence)
+{
+    JobRecord record;
+    record.spec.steps = {makeStep(1)};
+    record.spec.recurrence = {5, 0, 100};
+    Job job(record);
+    BOOST_REQUIRE(job.openOccurrence());
+    job.countCrash({0, 0, 0}, "w1", {CrashMoment::Startup, false, true}, 0, Now);
+    job.countCrash({0, 0, 0}, "w2", {CrashMoment::Startup, true, true}, 0, Now);
+    BOOST_TEST((job.record().state == JobState::Failed));
+    BOOST_TEST(!job.openOccurrence());
+    BOOST_TEST(!job.nextDueMs().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(onlyWorkersOfPlacedTasksAreKept)
+{
+    Job job = makeJob({makeStep(2)});
+    const std::uint32_t run = job.place({0, 0, 0}, "w1");
+    job.noteWorker({"w1", "192.0.2.1:1", 7});
+    job.endRun({0, 0, 0}, run, RunEnd::Done, "", Now);
+    job.place({0, 0, 1}, "w2");
+    job.noteWorker({"w2", "192.0.2.2:1", 8});
+    BOOST_REQUIRE(job.record().workers.size() == 1U);
+    BOOST_TEST(job.record().lifeOf("w2").startTimeMs == 8);
+    BOOST_TEST(job.record().lifeOf("w1").address.empty());
+}
+
 BOOST_AUTO_TEST_CASE(recordsSurviveEncodingAndDecoding)
 {
     Job job = makeJob({makeStep(2), makeStep(1, {0})});
     job.place({0, 0, 1}, "worker");
     job.saveProgress({0, 0, 1}, 1, "saved");
+    job.noteWorker({"worker", "192.0.2.1:1", 7});
+    job.countCrash({0, 0, 0}, "worker", {CrashMoment::Startup, true, false}, 4, Now);
     const std::string bytes = encodeJob(job.record());
     const std::optional<JobRecord> read = decodeJob(bytes);
     BOOST_REQUIRE(read.has_value());
--- a/libs/scheduling/include/scheduling/placement.h
+++ b/libs/scheduling/include/scheduling/placement.h
@@ -12,6 +12,7 @@
 
 /** Requirements of a task to be placed. */
 struct PlacementRequest {
+    JobId job;
     Resources demand;
     std::string requiredLabel;
     /** Racks where the task runs at full speed; empty if any rack is as good. */
@@ -34,10 +35,10 @@
 /** A worker that may receive a task. */
 struct PlacementCandidate {
     WorkerSession *session = nullptr;
-    /** If set, only long-running tasks are placed on the worker. */
-    bool reserved = false;
     /** Its instance is to be maintained soon. */
     bool leaving = false;
+    /** The only job whose tasks may be placed on the worker, see JobIsolation; empty if all may. */
+    JobId keptFor;
 };
 
 /**
--- a/libs/scheduling/include/scheduling/scheduler.h
+++ b/libs/scheduling/include/scheduling/scheduler.h
@@ -62,6 +62,10 @@
     std::uint32_t run = 0;
     WorkerId worker;
     std::string detail;
+    /** Of "job-given-up": the runs of other jobs that were lost with the workers that the job crashed. */
+    std::uint32_t runsLostBeside = 0;
+    /** Of "job-given-up": the time since the job was received. */
+    std::chrono::milliseconds jobAge{0};
 };
 
 /** Statistics of one pool. */
--- a/libs/scheduling/include/scheduling/workersession.h
+++ b/libs/scheduling/include/scheduling/workersession.h
@@ -67,6 +67,12 @@
     StopProgress stop = StopProgress::NotWanted;
     bool longRunning = false;
     bool bestEffort = false;
+    /** The task may crash its worker; see Job::isCrashSuspect(). */
+    bool suspect = false;
+    /** Workers crashed under earlier runs of the task. */
+    bool hasCrashes = false;
+    /** A former owner placed the run, so its age is not known. */
+    bool restored = false;
     /** Whether the start order may have reached the worker. */
     bool mayHaveStarted() const
     {
@@ -117,6 +123,8 @@
     void handleLeaseRenewalEnded(const RenewLeaseOrder &order);
     /** The worker stopped answering; @p silentSince is when that began, if it is known better than from the latest answer. */
     void markUnreachable(BootTime now, std::optional<BootTime> silentSince = std::nullopt);
+    /** The runs that were added were placed in the life of the worker that started at @p startTimeMs, in milliseconds since 1970. */
+    void assumeLife(std::int64_t startTimeMs);
     /** The worker's present life is about to end by an order of this system, so its end is not a crash. */
     void expectEnd();
     /** An order that extends the lease is being sent. */
@@ -146,6 +154,8 @@
     bool isRegistered() const;
     /** The present life of the worker is to end in order: it is draining, or this system ordered its end. */
     bool isEndExpected() const;
+    /** Start of the worker's present life in milliseconds since 1970, as its listings tell; 0 before the first one. */
+    std::int64_t startTimeMs() const;
     /** Whether @p listing comes from a later life of the worker than the former listings. */
     bool isLaterLife(const Listing &listing) const;
     /** While the worker is unreachable: since when; otherwise the time of its latest answer. */
--- /dev/null
+++ b/libs/scheduling/src/crashattribution.cpp
@@ -0,0 +1,71 @@
+#include "scheduling/crashattribution.h"
+
+#include <algorithm>
+
+namespace Cornelquay {
+
+bool hasRunFor(const LiveRun &run, std::chrono::milliseconds period, BootTime at)
+{
+    return run.start == StartProgress::Accepted && at - run.placedOrAcceptedAt >= period;
+}
+
+bool isProven(const LiveRun &run, BootTime at)
+{
+    return run.longRunning && hasRunFor(run, ProvenPeriod, at);
+}
+
+bool isIsolatedFor(const JobId &job, const std::map<TaskName, LiveRun> &runs, BootTime at)
+{
+    return std::all_of(runs.begin(), runs.end(), [&](const auto &item) {
+        return item.first.job == job || isProven(item.second, at);
+    });
+}
+
+namespace {
+
+CrashMoment momentOf(const LiveRun &run, BootTime crashedAt)
+{
+    if (run.restored) {
+        return run.start == StartProgress::Accepted ? CrashMoment::Later : CrashMoment::Unknown;
+    }
+    return hasRunFor(run, StartupPeriod, crashedAt) ? CrashMoment::Later : CrashMoment::Startup;
+}
+
+}
+
+std::map<TaskName, CrashEvidence> attributeCrash(const std::map<TaskName, LiveRun> &runs, BootTime crashedAt, bool quietFleet)
+{
+    std::map<TaskName, LiveRun> sent;
+    std::copy_if(runs.begin(), runs.end(), std::inserter(sent, sent.end()), [](const auto &item) {
+        return item.second.mayHaveStarted();
+    });
+    std::map<TaskName, CrashEvidence> evidence;
+    for (const auto &[task, run] : sent) {
+        // A run that is being stopped may have ended before the crash.
+        const bool isolated = run.suspect && run.stop == StopProgress::NotWanted && !isProven(run, crashedAt) && isIsolatedFor(task.job, sent, crashedAt);
+        evidence[task] = {momentOf(run, crashedAt), isolated, quietFleet};
+    }
+    return evidence;
+}
+
+SilenceHistory::SilenceHistory(BootTime beginAt)
+    : m_latestUnexplained(beginAt)
+{
+}
+
+void SilenceHistory::note(const std::map<TaskName, LiveRun> &runs, BootTime silentSince)
+{
+    const bool isExplained = std::any_of(runs.begin(), runs.end(), [&](const auto &item) {
+        return item.second.mayHaveStarted() && momentOf(item.second, silentSince) == CrashMoment::Startup;
+    });
+    if (!isExplained) {
+        m_latestUnexplained = std::max(m_latestUnexplained, silentSince);
+    }
+}
+
+bool SilenceHistory::isQuietAt(BootTime at) const
+{
+    return at - m_latestUnexplained >= QuietPeriod;
+}
+
+}
--- a/libs/scheduling/src/details/schedulerimpl.h
+++ b/libs/scheduling/src/details/schedulerimpl.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "scheduling/crashattribution.h"
+#include "scheduling/jobisolation.h"
 #include "scheduling/joborder.h"
 #include "scheduling/offeredload.h"
 #include "scheduling/placement.h"
@@ -37,6 +39,15 @@
     JobEstimate estimate;
     /** Workers on which each task failed. */
     std::map<TaskRef, std::set<WorkerId>> failedOn;
+    /** A suspect of the job that waits for a worker of its own is placed beside others from then on; nothing while none waits. */
+    std::optional<BootTime> isolationDeadline;
+};
+
+/** Runs that were lost because their worker was silent until its lease was over. */
+struct SilentLoss {
+    std::map<TaskName, CrashEvidence> evidence;
+    /** What became of the worker is of no interest any more from then on. */
+    BootTime forgetAt{};
 };
 
 /** Answers of the advice service for one step. */
@@ -104,6 +115,11 @@
     std::set<WorkerId> leaving;
     std::map<std::string, Resources> accountUsed;
     std::map<std::string, SubmissionBucket> buckets;
+    /** By worker; resolved once the same life of the worker, or a later one, answers. */
+    std::map<WorkerId, SilentLoss> silentLosses;
+    JobIsolation isolation;
+    /** Begins with the first advance(). */
+    std::optional<SilenceHistory> silences;
     /** By pool. */
     std::map<std::string, Resources> backlog;
     /** The part of the backlog that requires a label, by pool and label. */
@@ -154,8 +170,39 @@
     void markRunLost(WorkerSession &session, const TaskName &task, std::int64_t wallMs, std::string_view reason);
     /** Stops the other members of the gang to which @p task belonged in run @p run. */
     void stopGangMembers(const JobEntry &entry, const TaskName &task, std::uint32_t run, std::int64_t wallMs);
-    /** The present life of the worker is over, and with it all runs; @p sign tells how that is known. */
-    void handleWorkerEnd(WorkerSession &session, std::string_view sign, BootTime now);
+
+    // Crashes.
+    /** The worker does not answer; see WorkerSession::markUnreachable(). */
+    void markUnreachable(WorkerSession &session, BootTime now, std::optional<BootTime> silentSince = std::nullopt);
+    /** A life of the worker is over, and with it all runs that it had; @p sign tells how that is known. */
+    void handleWorkerEnd(WorkerSession &session, std::string_view sign, BootTime now, std::int64_t wallMs);
+    /** The runs of the worker are lost without a sign of what became of it. */
+    void noteSilentLoss(WorkerSession &session, BootTime now, std::int64_t wallMs);
+    /** The worker's life that was silent goes on. */
+    void resolveSilentLoss(const WorkerId &worker);
+    void forgetSilentLosses(BootTime now);
+    void
+    countCrash(const WorkerId &worker, const TaskName &task, const CrashEvidence &evidence, std::uint32_t runsLostBeside, BootTime now, std::int64_t wallMs);
+    /** The crashes under a task were counted anew, with @p outcome. */
+    void noteCrashCount(JobEntry &entry, const TaskRef &ref, const WorkerId &worker, EndOutcome outcome, BootTime now);
+    void explainLoss(const TaskName &task);
+    void giveUpJob(JobEntry &entry, const TaskRef &ref, BootTime now);
+    /** Forgets the crashes under a long-running task that has proved to be sound. */
+    void clearCrashes(const TaskName &task, LiveRun &run);
+    /** Gives back the workers that are kept for suspects and not needed any more. */
+    void releaseIsolation(BootTime now);
+    bool needsIsolation(const WorkerId &worker, const JobId &job, BootTime now);
+    /** Chooses a worker that runs nothing of other jobs for a suspect; if there is none, one is kept free for it, and nullptr is returned. */
+    PlacementCandidate *
+    chooseIsolated(JobEntry &entry, const PlacementRequest &request, PoolCandidates &candidates, const StepAdvice *permissions, BootTime now);
+    /** Chooses a worker without suspects of other jobs for a suspect. */
+    static PlacementCandidate *
+    chooseAmongSound(const JobEntry &entry, const PlacementRequest &request, PoolCandidates &candidates, const StepAdvice *permissions, BootTime now);
+    /** A suspect of the job was not placed. Returns whether it may run beside other jobs from now on. */
+    static bool hasWaitedForIsolation(JobEntry &entry, BootTime now);
+    void keepForSuspects(const JobEntry &entry, PlacementCandidate &candidate);
+
+    // Loss of runs.
     void markAllRunsLost(WorkerSession &session, std::int64_t wallMs, std::string_view reason);
     void requestStop(WorkerSession &session, const TaskName &task, std::string_view reason);
     bool isWithinDisruptionBudget(const TaskName &task);
@@ -186,6 +233,17 @@
     void addToBacklog(const JobEntry &entry, const PlacementRequest &request, std::uint32_t count);
     PlacementRequest makeRequest(const JobEntry &entry, const Occurrence &occurrence, std::uint32_t step) const;
     PlacementCandidate *chooseCandidate(const PlacementRequest &request, PoolCandidates &candidates, const StepAdvice *permissions, BootTime now);
+    /**
+     * The worker for a task, nullptr for none. @p unconstrained tells that free capacity is the task's only condition, so that
+     * larger tasks need not be tried once it does not fit.
+     */
+    PlacementCandidate *chooseForTask(JobEntry &entry,
+                                      const TaskRef &ref,
+                                      const PlacementRequest &request,
+                                      PoolCandidates &candidates,
+                                      const StepAdvice *permissions,
+                                      BootTime now,
+                                      bool unconstrained);
     void commitPlacement(JobEntry &entry, const TaskRef &ref, std::uint32_t run, PlacementCandidate &candidate, const std::string &ticket, BootTime now);
     bool isWithinCap(const JobEntry &entry, const Resources &demand) const;
     JobUrgency urgencyOf(const JobEntry &entry, BootTime now) const;
--- a/libs/scheduling/src/placement.cpp
+++ b/libs/scheduling/src/placement.cpp
@@ -67,7 +67,7 @@
     for (PlacementCandidate *candidate : candidates) {
         const WorkerFacts &facts = candidate->session->facts();
         if (!request.demand.fitsInto(candidate->session->freeCapacity()) || !hasLabel(facts, request.requiredLabel)
-            || (candidate->reserved && !request.longRunning)) {
+            || (!candidate->keptFor.empty() && candidate->keptFor != request.job)) {
             continue;
         }
         if (request.maxTasksPerWorker != 0 && countOf(request.siblingsByWorker, facts.id) >= request.maxTasksPerWorker) {
--- a/libs/scheduling/src/schedulerplacing.cpp
+++ b/libs/scheduling/src/schedulerplacing.cpp
@@ -32,7 +32,8 @@
     std::map<std::string, PoolCandidates> candidatesByPool;
     for (auto &[id, session] : workers) {
         if (session.canTakeWork(now) && cordoned.count(id) == 0) {
-            candidatesByPool[session.facts().pool].all.push_back({&session, false, leaving.count(id) != 0});
+            const JobId *keptFor = isolation.jobOf(id);
+            candidatesByPool[session.facts().pool].all.push_back({&session, leaving.count(id) != 0, keptFor == nullptr ? JobId() : *keptFor});
         }
     }
     for (auto &[pool, candidates] : candidatesByPool) {
@@ -47,6 +48,7 @@
 {
     lastPlacementAt = now;
     placementNeeded = false;
+    releaseIsolation(now);
     backlog.clear();
     labelledBacklog.clear();
     std::vector<std::pair<JobUrgency, JobEntry *>> waiting;
@@ -84,6 +86,7 @@
 {
     const StepSpec &spec = entry.job.record().spec.steps[step];
     PlacementRequest request;
+    request.job = entry.job.record().id;
     request.demand = spec.demand;
     if (spec.bestEffort) {
         request.demand.cpu = 0;
@@ -161,13 +164,8 @@
         const TaskRef ref{occurrence.number, step, index};
         const auto failedOn = entry.failedOn.find(ref);
         request.failedOn = failedOn == entry.failedOn.end() ? std::set<WorkerId>{} : failedOn->second;
-        PlacementCandidate *chosen = nullptr;
-        if (isWithinCap(entry, spec.demand) && !(unconstrained && anyFitsInto(candidates.unplacedDemands, request.demand))) {
-            chosen = chooseCandidate(request, candidates, permissions, now);
-            if (chosen == nullptr && unconstrained) {
-                candidates.unplacedDemands.push_back(request.demand);
-            }
-        }
+        PlacementCandidate *chosen
+            = isWithinCap(entry, spec.demand) ? chooseForTask(entry, ref, request, candidates, permissions, now, unconstrained) : nullptr;
         if (chosen == nullptr) {
             entry.mayHaveReady = true;
             if (!isLate(entry.estimate, now)) {
@@ -187,6 +185,31 @@
     }
 }
 
+PlacementCandidate *Scheduler::Impl::chooseForTask(JobEntry &entry,
+                                                   const TaskRef &ref,
+                                                   const PlacementRequest &request,
+                                                   PoolCandidates &candidates,
+                                                   const StepAdvice *permissions,
+                                                   BootTime now,
+                                                   bool unconstrained)
+{
+    if (entry.job.isCrashSuspect(ref)) {
+        if (PlacementCandidate *isolated = chooseIsolated(entry, request, candidates, permissions, now)) {
+            entry.isolationDeadline.reset();
+            return isolated;
+        }
+        return hasWaitedForIsolation(entry, now) ? chooseAmongSound(entry, request, candidates, permissions, now) : nullptr;
+    }
+    if (unconstrained && anyFitsInto(candidates.unplacedDemands, request.demand)) {
+        return nullptr;
+    }
+    PlacementCandidate *chosen = chooseCandidate(request, candidates, permissions, now);
+    if (chosen == nullptr && unconstrained) {
+        candidates.unplacedDemands.push_back(request.demand);
+    }
+    return chosen;
+}
+
 void Scheduler::Impl::addToBacklog(const JobEntry &entry, const PlacementRequest &request, std::uint32_t count)
 {
     const std::string &pool = entry.job.record().terms.pool;
@@ -213,10 +236,14 @@
     if (!isWithinCap(entry, spec.demand * count)) {
         return;
     }
+    const bool hasWaited = entry.isolationDeadline && now >= *entry.isolationDeadline;
+    const bool isSuspect = !hasWaited && std::any_of(tasks.begin(), tasks.end(), [&](const Task &task) {
+        return entry.job.isCrashSuspect({occurrence.number, step, static_cast<std::uint32_t>(&task - tasks.data())});
+    });
     // Temporary runs reserve the capacity of the members placed so far; they are removed below.
     std::vector<PlacementCandidate *> chosen;
     for (std::uint32_t index = 0; index < count; ++index) {
-        PlacementCandidate *candidate = choosePlacement(request, candidates.open);
+        PlacementCandidate *candidate = isSuspect ? chooseIsolated(entry, request, candidates, nullptr, now) : choosePlacement(request, candidates.open);
         if (candidate == nullptr) {
             break;
         }
@@ -232,10 +259,14 @@
     for (std::uint32_t index = 0; index < chosen.size(); ++index) {
         chosen[index]->session->removeRun({entry.job.record().id, {occurrence.number, step, index}});
     }
+    if (chosen.size() < count && isSuspect) {
+        hasWaitedForIsolation(entry, now);
+    }
     if (chosen.size() < count) {
         addToBacklog(entry, request, count);
         return;
     }
+    entry.isolationDeadline.reset();
     std::vector<WorkerId> ids;
     ids.reserve(chosen.size());
     for (const PlacementCandidate *candidate : chosen) {
@@ -259,6 +290,10 @@
     live.batch = nextBatch;
     live.placedOrAcceptedAt = now;
     live.ticket = ticket;
+    live.suspect = entry.job.isCrashSuspect(ref);
+    live.hasCrashes = live.suspect || entry.job.findCrashes(ref) != nullptr;
+    const WorkerFacts &facts = candidate.session->facts();
+    entry.job.noteWorker({facts.id, facts.address, candidate.session->startTimeMs()});
     const TaskName task{entry.job.record().id, ref};
     addRun(*candidate.session, task, entry, std::move(live));
     batchStarts[nextBatch].emplace_back(candidate.session->facts().id, task);
--- a/libs/scheduling/src/schedulerresults.cpp
+++ b/libs/scheduling/src/schedulerresults.cpp
@@ -159,7 +159,7 @@
             return;
         }
         if (*refusal == OrderRefusal::OtherInstance) {
-            impl.handleWorkerEnd(session, "another worker answers at its address", now);
+            impl.handleWorkerEnd(session, "another worker answers at its address", now, wallMs);
             impl.markAllRunsLost(session, wallMs, "other-instance");
             session.setRegistered(false);
         }
@@ -171,7 +171,7 @@
         impl.emitEvent("worker-unreachable", {}, 0, order.worker, std::to_string(session.runs().size()) + " runs");
     }
     const bool connectionBroke = std::holds_alternative<OrderUnanswered>(result) && now - sentAt < order.wait + MaxBrokenRenewalTime;
-    session.markUnreachable(now, connectionBroke ? std::optional(now) : std::nullopt);
+    impl.markUnreachable(session, now, connectionBroke ? std::optional(now) : std::nullopt);
 }
 
 void Scheduler::Impl::applyListing(
@@ -182,7 +182,9 @@
         placementNeeded = true;
     }
     if (session.isLaterLife(listing)) {
-        handleWorkerEnd(session, "restarted under its id", now);
+        handleWorkerEnd(session, "restarted under its id", now, wallMs);
+    } else {
+        resolveSilentLoss(session.facts().id);
     }
     session.handleListing(listing, order.fencingToken, now);
     for (const ListedEnd &end : listing.ended) {
@@ -336,13 +338,13 @@
     impl.markRunLost(session, order.task, wallMs, toName(*refusal));
     switch (*refusal) {
     case OrderRefusal::NotSent:
-        session.markUnreachable(now);
+        impl.markUnreachable(session, now);
         break;
     case OrderRefusal::OtherInstance:
-        impl.handleWorkerEnd(session, "another worker answers at its address", now);
+        impl.handleWorkerEnd(session, "another worker answers at its address", now, wallMs);
         impl.markAllRunsLost(session, wallMs, "other-instance");
         session.setRegistered(false);
-        session.markUnreachable(now);
+        impl.markUnreachable(session, now);
         break;
     case OrderRefusal::Unhealthy:
         session.noteFailure();
--- a/libs/scheduling/src/schedulertime.cpp
+++ b/libs/scheduling/src/schedulertime.cpp
@@ -34,10 +34,14 @@
 void Scheduler::advance(BootTime now, std::int64_t wallMs)
 {
     Impl &impl = *m_impl;
+    if (!impl.silences) {
+        impl.silences.emplace(now);
+    }
     if (now - impl.lastHousekeepingAt >= HousekeepingInterval) {
         impl.lastHousekeepingAt = now;
         impl.openDueOccurrences(wallMs);
         impl.expireLeases(now, wallMs);
+        impl.forgetSilentLosses(now);
         impl.checkRuns(now);
         impl.refreshEstimates(now);
         impl.dropClosedJobs(wallMs);
@@ -66,13 +70,15 @@
     for (auto worker = workers.begin(); worker != workers.end();) {
         WorkerSession &session = worker->second;
         if (session.isLeaseExpired(now) && !session.runs().empty()) {
+            noteSilentLoss(session, now, wallMs);
             markAllRunsLost(session, wallMs, "lease over");
         }
         // A worker that is known only from job records has no address and cannot be contacted.
         if (session.facts().address.empty() && session.isReachable()) {
-            session.markUnreachable(now);
+            markUnreachable(session, now);
         }
-        const bool forgotten = !session.isRegistered() && session.runs().empty() && !session.hasUnacknowledgedEnds();
+        const bool isFateOpen = silentLosses.count(worker->first) != 0;
+        const bool forgotten = !session.isRegistered() && session.runs().empty() && !session.hasUnacknowledgedEnds() && !isFateOpen;
         worker = forgotten ? workers.erase(worker) : std::next(worker);
     }
 }
@@ -124,6 +130,9 @@
                 session.noteFailure();
                 session.avoidUntil(now + StalledWorkerAvoidPeriod);
             }
+            if (run.hasCrashes && run.percent == ReadyPercent && isProven(run, now)) {
+                clearCrashes(task, run);
+            }
             if (draining && run.longRunning && run.start == StartProgress::Accepted) {
                 requestStop(session, task, "worker leaves");
             }
--- a/libs/scheduling/src/workersession.cpp
+++ b/libs/scheduling/src/workersession.cpp
@@ -52,6 +52,11 @@
     m_facts = facts;
 }
 
+void WorkerSession::assumeLife(std::int64_t startTimeMs)
+{
+    m_startTimeMs = std::max(m_startTimeMs, startTimeMs);
+}
+
 void WorkerSession::expectEnd()
 {
     m_endExpected = true;
@@ -248,6 +253,11 @@
     return m_endExpected;
 }
 
+std::int64_t WorkerSession::startTimeMs() const
+{
+    return m_startTimeMs;
+}
+
 bool WorkerSession::isLaterLife(const Listing &listing) const
 {
     return m_startTimeMs != 0 && listing.startTimeMs != m_startTimeMs;
--- a/libs/scheduling/tests/scriptedfleet.h
+++ b/libs/scheduling/tests/scriptedfleet.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,10 @@
     void run(std::chrono::milliseconds duration);
     /** Makes a worker report the end of a run. */
     void end(const WorkerId &worker, const TaskName &task, RunEnd how);
+    /** Ends all runs of the worker, which answers nothing for @p downtime and then continues as another worker at the same address. */
+    void crash(const WorkerId &worker, std::chrono::milliseconds downtime);
+    /** The worker answers nothing for @p duration, while its runs continue. */
+    void cutOff(const WorkerId &worker, std::chrono::milliseconds duration);
 
     Scheduler scheduler;
     BootTime now = Start;
@@ -41,12 +46,21 @@
     std::function<std::pair<int, std::int64_t>(const TaskName &task)> onListed;
     /** Called after the batch is stored and before orders are taken. */
     std::function<void()> beforeOrders;
+    /** Tasks that crash each worker 10 ms after it has started them. */
+    std::set<TaskName> crashingTasks;
+    std::size_t crashes = 0;
 
 private:
     void execute(const Order &order);
     Listing makeListing(const RenewLeaseOrder &order);
 
+    void executeStart(const StartOrder &order);
+    void executeRenewal(const RenewLeaseOrder &order);
+
     const Resources m_capacity;
+    std::vector<std::pair<BootTime, std::function<void()>>> m_scheduled;
+    std::set<WorkerId> m_silent;
+    std::set<WorkerId> m_replaced;
     std::map<WorkerId, std::vector<ListedEnd>> m_ended;
 };
 
