--- a/libs/scheduling/tests/fleetsimulationworkers.cpp
+++ b/libs/scheduling/tests/fleetsimulationworkers.cpp
@@ -213,6 +213,10 @@
         m_soundRunsLost += m_crashingTasks.count(task) == 0 ? 1 : 0;
         addHistory(task, worker.id + " crashes under run " + std::to_string(run.run));
     }
+    // The owner cannot know of an end that the worker did not report.
+    for (const ListedEnd &end : worker.ended) {
+        ++m_losses[end.task];
+    }
     worker.running.clear();
     worker.down = true;
     after(between(1200, 6000), [this, &worker] {
