Judge crashes only by runs that were started, and settle suspects sooner

A job was shown as failed after one crash. Its first start had no answer, because another task had crashed the worker before the start arrived; it counted all the same. Now only runs count whose start the worker confirmed, and a job fails only after two such crashes. The verdict took more crashes than needed, since workers that were being moved, which end before the control plane has answered, were taken for crashes of an unquiet fleet; at most half of a pool was kept; and suspects that had waited ran beside others, so that a further crash convicted nobody. Now cordoned workers may end, most of a pool without backlog may be kept, and a suspect that waited 4 s starts beside runs that have been running for 100 ms, which a crash right after its start clears.

--- a/libs/jobs/include/jobs/job.h
+++ b/libs/jobs/include/jobs/job.h
@@ -110,7 +110,7 @@
     /** The worker fell silent right after it was told to start the task. */
     Startup,
     Later,
-    /** A former owner started the run, and its worker has not answered since. */
+    /** A former owner placed the run, and its worker has not answered since. It may not even have been started. */
     Unknown,
 };
 
@@ -128,13 +128,13 @@
     TaskRef task;
     /** Crashes right after a start of the task. */
     std::uint32_t duringStartup = 0;
-    /** Crashes at other or unknown moments. */
+    /** Crashes at other moments of a run. */
     std::uint32_t later = 0;
     /** The crashes of the two kinds with CrashEvidence::isolated, each of a worker that had not crashed under the task before. */
     std::uint32_t isolatedDuringStartup = 0;
     std::uint32_t isolatedLater = 0;
-    /** Times that a worker fell silent, maybe right after a start of the task, until its lease was over, and may have crashed. */
-    std::uint32_t unexplained = 0;
+    /** Losses of runs of which it is not known whether they had been started, or whether their worker crashed. */
+    std::uint32_t unconfirmed = 0;
     /** Runs of other tasks that ended with the same workers. */
     std::uint32_t runsLostBeside = 0;
     /** The workers that crashed. */
@@ -142,7 +142,7 @@
 
     auto fields()
     {
-        return std::tie(task, duringStartup, later, isolatedDuringStartup, isolatedLater, unexplained, runsLostBeside, workers);
+        return std::tie(task, duringStartup, later, isolatedDuringStartup, isolatedLater, unconfirmed, runsLostBeside, workers);
     }
     bool operator==(const TaskCrashes &) const = default;
 };
@@ -289,14 +289,15 @@
     EndOutcome loseRun(const TaskRef &ref, std::uint32_t run, std::int64_t wallMs);
     /**
      * Counts a crash of @p worker under a run of the task. The job fails, also if the task is long-running, once the crashes
-     * show that the task causes them: two while it was isolated and had just been started, or one such after another crash
-     * while the fleet was quiet, three while it was isolated, or four right after its start. Sound tasks that ran beside it
-     * are not blamed, since their later runs are isolated from it. After five crashes or unexplained losses the job fails in any case.
+     * show that the task causes them, but never before there were two: two while it was isolated and had just been started, or
+     * one such after another crash while the fleet was quiet, three while it was isolated, or four right after its start.
+     * Sound tasks that ran beside it are not blamed, since their later runs are isolated from it. After five crashes or
+     * unconfirmed losses the job fails in any case.
      */
     EndOutcome countCrash(const TaskRef &ref, const WorkerId &worker, const CrashEvidence &evidence, std::uint32_t runsLostBeside, std::int64_t wallMs);
     /** A worker fell silent for good, maybe right after it was told to start the task, and may have crashed. See countCrash(). */
-    EndOutcome countUnexplainedLoss(const TaskRef &ref, const WorkerId &worker, std::int64_t wallMs);
-    /** What became of the worker of an unexplained loss is known now. */
+    EndOutcome countUnconfirmedLoss(const TaskRef &ref, const WorkerId &worker, std::int64_t wallMs);
+    /** What became of the worker of an unconfirmed loss is known now. */
     void explainLoss(const TaskRef &ref);
     /** Keeps @p life for the next owner, which needs it to learn what became of the worker. To be called with each placement. */
     void noteWorker(const WorkerLife &life);
--- a/libs/jobs/src/job.cpp
+++ b/libs/jobs/src/job.cpp
@@ -156,27 +156,34 @@
     if (crashes == nullptr) {
         return EndOutcome::Ignored;
     }
-    const bool duringStartup = evidence.moment == CrashMoment::Startup;
-    ++(duringStartup ? crashes->duringStartup : crashes->later);
     // A worker that crashes again may be at fault itself.
     const bool isOtherWorker = std::find(crashes->workers.begin(), crashes->workers.end(), worker) == crashes->workers.end();
     const bool convicts = evidence.isolated && isOtherWorker;
-    if (convicts) {
-        ++(duringStartup ? crashes->isolatedDuringStartup : crashes->isolatedLater);
-    }
     crashes->runsLostBeside += runsLostBeside;
     crashes->workers.push_back(worker);
-    const bool isRepeated = crashes->duringStartup + crashes->later >= MinCrashes;
-    return judgeCrashes(*crashes, convicts && duringStartup && evidence.quietFleet && isRepeated, wallMs);
+    switch (evidence.moment) {
+    case CrashMoment::Startup:
+        ++crashes->duringStartup;
+        crashes->isolatedDuringStartup += convicts ? 1 : 0;
+        return judgeCrashes(*crashes, convicts && evidence.quietFleet, wallMs);
+    case CrashMoment::Later:
+        ++crashes->later;
+        crashes->isolatedLater += convicts ? 1 : 0;
+        break;
+    case CrashMoment::Unknown:
+        ++crashes->unconfirmed;
+        break;
+    }
+    return judgeCrashes(*crashes, false, wallMs);
 }
 
-EndOutcome Job::countUnexplainedLoss(const TaskRef &ref, const WorkerId &worker, std::int64_t wallMs)
+EndOutcome Job::countUnconfirmedLoss(const TaskRef &ref, const WorkerId &worker, std::int64_t wallMs)
 {
     TaskCrashes *crashes = crashesOf(ref);
     if (crashes == nullptr) {
         return EndOutcome::Ignored;
     }
-    ++crashes->unexplained;
+    ++crashes->unconfirmed;
     crashes->workers.push_back(worker);
     return judgeCrashes(*crashes, false, wallMs);
 }
@@ -187,8 +194,8 @@
         return;
     }
     TaskCrashes *crashes = crashesOf(ref);
-    if (crashes != nullptr && crashes->unexplained > 0) {
-        --crashes->unexplained;
+    if (crashes != nullptr && crashes->unconfirmed > 0) {
+        --crashes->unconfirmed;
     }
 }
 
@@ -211,9 +218,10 @@
 
 EndOutcome Job::judgeCrashes(const TaskCrashes &crashes, bool isConvicted, std::int64_t wallMs)
 {
+    const std::uint32_t confirmed = crashes.duringStartup + crashes.later;
     const std::uint32_t isolatedWeight = crashes.isolatedDuringStartup * StartupCrashWeight + crashes.isolatedLater * LaterCrashWeight;
-    const std::uint32_t total = crashes.duringStartup + crashes.later + crashes.unexplained;
-    if (!isConvicted && isolatedWeight < MaxIsolatedWeight && crashes.duringStartup < MaxStartupCrashes && total < MaxCrashes) {
+    const bool causesCrashes = isConvicted || isolatedWeight >= MaxIsolatedWeight || crashes.duringStartup >= MaxStartupCrashes;
+    if (!(causesCrashes && confirmed >= MinCrashes) && confirmed + crashes.unconfirmed < MaxCrashes) {
         return EndOutcome::TaskWaiting;
     }
     m_record.state = JobState::Failed;
@@ -410,7 +418,7 @@
 bool Job::isCrashSuspect(const TaskRef &ref) const
 {
     const TaskCrashes *crashes = findCrashes(ref);
-    return crashes != nullptr && (crashes->duringStartup > 0 || crashes->later + crashes->unexplained >= SuspiciousLaterCrashes);
+    return crashes != nullptr && (crashes->duringStartup > 0 || crashes->later + crashes->unconfirmed >= SuspiciousLaterCrashes);
 }
 
 bool Job::hasPlacedTasks() const
--- a/libs/scheduling/include/scheduling/crashattribution.h
+++ b/libs/scheduling/include/scheduling/crashattribution.h
@@ -20,15 +20,19 @@
 /** Whether the run is of a long-running task that has proved to be sound; see ProvenPeriod. */
 bool isProven(const LiveRun &run, BootTime at);
 
-/** Whether all runs on a worker that may cause a crash are of @p job: the others are proven or were not sent. */
+/** Whether all runs on a worker are of @p job or proven. */
 bool isIsolatedFor(const JobId &job, const std::map<TaskName, LiveRun> &runs, BootTime at);
 
+/** Whether all runs on a worker are of @p job or have been running for StartupPeriod. */
+bool isAloneInStartup(const JobId &job, const std::map<TaskName, LiveRun> &runs, BootTime at);
+
 /**
  * Judges what the crash of a worker says of each of its runs. @p runs are all runs on the worker, and @p crashedAt is
- * when it fell silent. Runs whose start order was not sent are left out.
+ * when it fell silent. Runs that are not known to have been started are left out, unless a former owner placed them.
  *
- * With several suspects on one worker the crash convicts none of them, since any of them may have caused it. A suspect
- * is therefore run apart from other jobs, see JobIsolation, and only crashes of such workers count as isolated.
+ * With several suspects on one worker the crash convicts none of them, since any of them may have caused it. A suspect is
+ * therefore run apart from other jobs, see JobIsolation. The crash of its worker counts as isolated if all that runs beside it is
+ * proven or, right after its start, has been running for StartupPeriod.
  */
 std::map<TaskName, CrashEvidence> attributeCrash(const std::map<TaskName, LiveRun> &runs, BootTime crashedAt, bool quietFleet);
 
--- a/libs/scheduling/src/crashattribution.cpp
+++ b/libs/scheduling/src/crashattribution.cpp
@@ -33,6 +33,13 @@
 
 }
 
+bool isAloneInStartup(const JobId &job, const std::map<TaskName, LiveRun> &runs, BootTime at)
+{
+    return std::all_of(runs.begin(), runs.end(), [&](const auto &item) {
+        return item.first.job == job || hasRunFor(item.second, StartupPeriod, at);
+    });
+}
+
 std::map<TaskName, CrashEvidence> attributeCrash(const std::map<TaskName, LiveRun> &runs, BootTime crashedAt, bool quietFleet)
 {
     std::map<TaskName, LiveRun> sent;
@@ -41,9 +48,15 @@
     });
     std::map<TaskName, CrashEvidence> evidence;
     for (const auto &[task, run] : sent) {
+        // A start without an answer may have reached a worker that had crashed before.
+        if (!run.restored && run.start != StartProgress::Accepted) {
+            continue;
+        }
         // A run that is being stopped may have ended before the crash.
-        const bool isolated = run.suspect && run.stop == StopProgress::NotWanted && !isProven(run, crashedAt) && isIsolatedFor(task.job, sent, crashedAt);
-        evidence[task] = {momentOf(run, crashedAt), isolated, quietFleet};
+        const CrashMoment moment = momentOf(run, crashedAt);
+        const bool alone = isIsolatedFor(task.job, sent, crashedAt) || (moment == CrashMoment::Startup && isAloneInStartup(task.job, sent, crashedAt));
+        const bool isolated = run.suspect && run.stop == StopProgress::NotWanted && !isProven(run, crashedAt) && alone;
+        evidence[task] = {moment, isolated, quietFleet};
     }
     return evidence;
 }
--- a/libs/scheduling/src/details/schedulerimpl.h
+++ b/libs/scheduling/src/details/schedulerimpl.h
@@ -174,6 +174,8 @@
     void stopGangMembers(const JobEntry &entry, const TaskName &task, std::uint32_t run, std::int64_t wallMs);
 
     // Crashes.
+    /** Whether the end of the worker's present life would be no crash. */
+    bool isEndExpected(const WorkerSession &session) const;
     /** The worker does not answer; see WorkerSession::markUnreachable(). */
     void markUnreachable(WorkerSession &session, BootTime now, std::optional<BootTime> silentSince = std::nullopt);
     /** A life of the worker is over, and with it all runs that it had; @p sign tells how that is known. */
@@ -197,9 +199,9 @@
     /** Chooses a worker that runs nothing of other jobs for a suspect; if there is none, one is kept free for it, and nullptr is returned. */
     PlacementCandidate *
     chooseIsolated(JobEntry &entry, const PlacementRequest &request, PoolCandidates &candidates, const StepAdvice *permissions, BootTime now);
-    /** Chooses a worker without suspects of other jobs for a suspect. */
-    static PlacementCandidate *
-    chooseAmongSound(const JobEntry &entry, const PlacementRequest &request, PoolCandidates &candidates, const StepAdvice *permissions, BootTime now);
+    /** Chooses a worker for a suspect on which no run of another job has just been started, and keeps it for the suspect. */
+    PlacementCandidate *
+    chooseAmongEstablished(const JobEntry &entry, const PlacementRequest &request, PoolCandidates &candidates, const StepAdvice *permissions, BootTime now);
     /** A suspect of the job was not placed. Returns whether it may run beside other jobs from now on. */
     static bool hasWaitedForIsolation(JobEntry &entry, BootTime now);
     void keepForSuspects(const JobEntry &entry, PlacementCandidate &candidate);
--- a/libs/scheduling/src/jobisolation.cpp
+++ b/libs/scheduling/src/jobisolation.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // The largest part of a pool's workers that is kept for suspects at a time, but always one.
-constexpr double MaxKeptFraction = 0.5;
+constexpr double MaxKeptFraction = 0.8;
 constexpr double MaxKeptFractionWithBacklog = 0.25;
 
 }
--- a/libs/scheduling/src/schedulercrashes.cpp
+++ b/libs/scheduling/src/schedulercrashes.cpp
@@ -11,9 +11,9 @@
 
 // Once a lease is over, for how long it still matters whether its worker crashed. Longer than workers take to restart.
 constexpr auto SilentLossMemory = 10s;
-// A suspect that found no worker of its own for this time runs beside others, but not beside suspects of other jobs; its crashes
-// are bounded even so. Long-running tasks must not be missing for long.
-constexpr auto MaxIsolationWait = 8s;
+// A suspect that found no worker of its own for this time runs beside others that have been running for some time. Long-running
+// tasks must not be missing for long.
+constexpr auto MaxIsolationWait = 4s;
 constexpr auto MaxIsolationWaitOfLongRunning = 2s;
 // Limits the length of a log line.
 constexpr std::size_t MaxNamedRuns = 20;
@@ -38,11 +38,17 @@
 
 }
 
+bool Scheduler::Impl::isEndExpected(const WorkerSession &session) const
+{
+    // A cordoned worker is about to be moved or maintained, and may end before the control plane has answered the order.
+    return session.isEndExpected() || cordoned.count(session.facts().id) != 0;
+}
+
 void Scheduler::Impl::markUnreachable(WorkerSession &session, BootTime now, std::optional<BootTime> silentSince)
 {
     const bool wasReachable = session.isReachable();
     session.markUnreachable(now, silentSince);
-    if (wasReachable && silences && !session.isEndExpected() && !session.facts().address.empty()) {
+    if (wasReachable && silences && !isEndExpected(session) && !session.facts().address.empty()) {
         silences->note(session.runs(), session.aliveUntil());
     }
 }
@@ -55,8 +61,7 @@
     if (session.runs().empty() && former.evidence.empty()) {
         return;
     }
-    // A cordoned worker is about to be moved or maintained, so an order whose answer was lost may have ended it.
-    const bool isExpected = session.isEndExpected() || cordoned.count(worker) != 0;
+    const bool isExpected = isEndExpected(session);
     const std::string silence = std::to_string((now - session.aliveUntil()).count());
     emitEvent(isExpected ? "worker-left" : "worker-crashed",
               {},
@@ -99,7 +104,7 @@
               worker,
               std::to_string(crashes.duringStartup) + " at the start, " + std::to_string(crashes.later) + " later, "
                   + std::to_string(crashes.isolatedDuringStartup) + " and " + std::to_string(crashes.isolatedLater) + " of these isolated, "
-                  + std::to_string(crashes.unexplained) + " unexplained");
+                  + std::to_string(crashes.unconfirmed) + " unconfirmed");
     if (outcome == EndOutcome::JobFailed) {
         giveUpJob(entry, ref, now);
     }
@@ -130,7 +135,7 @@
 
 void Scheduler::Impl::noteSilentLoss(WorkerSession &session, BootTime now, std::int64_t wallMs)
 {
-    if (session.isEndExpected()) {
+    if (isEndExpected(session)) {
         return;
     }
     const WorkerId &worker = session.facts().id;
@@ -138,7 +143,7 @@
     for (const auto &[task, evidence] : loss.evidence) {
         JobEntry *entry = findEntry(task.job);
         if (entry != nullptr && evidence.moment != CrashMoment::Later) {
-            noteCrashCount(*entry, task.ref, worker, entry->job.countUnexplainedLoss(task.ref, worker, wallMs), now);
+            noteCrashCount(*entry, task.ref, worker, entry->job.countUnconfirmedLoss(task.ref, worker, wallMs), now);
         }
     }
     if (!session.facts().address.empty()) {
@@ -259,23 +264,22 @@
     return chosen;
 }
 
-PlacementCandidate *Scheduler::Impl::chooseAmongSound(
+PlacementCandidate *Scheduler::Impl::chooseAmongEstablished(
     const JobEntry &entry, const PlacementRequest &request, PoolCandidates &candidates, const StepAdvice *permissions, BootTime now)
 {
-    const auto hasOtherSuspect = [&](const PlacementCandidate *candidate) {
-        const std::map<TaskName, LiveRun> &runs = candidate->session->runs();
-        return std::any_of(runs.begin(), runs.end(), [&](const auto &item) {
-            return item.second.suspect && item.first.job != entry.job.record().id;
-        });
-    };
-    std::vector<PlacementCandidate *> sound;
+    std::vector<PlacementCandidate *> established;
     for (PlacementCandidate *candidate : candidates.open) {
-        const bool isPermitted = permissions == nullptr || permissions->usableTicket(candidate->session->facts().id, now) != nullptr;
-        if (isPermitted && !hasOtherSuspect(candidate)) {
-            sound.push_back(candidate);
+        const WorkerSession &session = *candidate->session;
+        const bool isPermitted = permissions == nullptr || permissions->usableTicket(session.facts().id, now) != nullptr;
+        if (isPermitted && isAloneInStartup(request.job, session.runs(), now)) {
+            established.push_back(candidate);
         }
     }
-    return choosePlacement(request, sound);
+    PlacementCandidate *chosen = choosePlacement(request, established);
+    if (chosen != nullptr && chosen->keptFor.empty()) {
+        keepForSuspects(entry, *chosen);
+    }
+    return chosen;
 }
 
 bool Scheduler::Impl::hasWaitedForIsolation(JobEntry &entry, BootTime now)
--- a/libs/scheduling/src/schedulerplacing.cpp
+++ b/libs/scheduling/src/schedulerplacing.cpp
@@ -198,7 +198,7 @@
             entry.isolationDeadline.reset();
             return isolated;
         }
-        return hasWaitedForIsolation(entry, now) ? chooseAmongSound(entry, request, candidates, permissions, now) : nullptr;
+        return hasWaitedForIsolation(entry, now) ? chooseAmongEstablished(entry, request, candidates, permissions, now) : nullptr;
     }
     if (unconstrained && anyFitsInto(candidates.unplacedDemands, request.demand)) {
         return nullptr;
