Count runs that the owner has given up as used until their end is listed

What callers saw: nothing yet; found while looking for siblings of the starts over a shrunken capacity. A worker may list a run that this owner did not add, for instance one that was carried out late. The owner ordered its stop and started other tasks in its room at once, although a run that is being stopped still counts (LIMIT).

Cause: the capacity in use was summed over the runs of the owner's own list, not over what the worker says it runs.

Why it works: each listing sets the demand of the runs that the owner does not know, and it counts as used until a listing lacks them; the worker is asked until then. If the job of such a run is not known any more, the worker counts as full.

Evidence: runsThatTheOwnerDoesNotKnowOccupyTheirWorker fails with the former code (the second task starts beside the run that is being stopped).

--- a/libs/scheduling/include/scheduling/workersession.h
+++ b/libs/scheduling/include/scheduling/workersession.h
@@ -134,6 +134,8 @@
     void handleBatchStored(std::uint64_t batch, BootTime now);
     void addRun(const TaskName &task, LiveRun run);
     void removeRun(const TaskName &task);
+    /** The latest listing has @p count runs that this owner did not add, with @p demand in all. */
+    void setUnknownRuns(std::size_t count, const Resources &demand);
     /** The speed limits of the best-effort runs were decided. */
     void recordThrottling(BootTime now);
     /** Makes the next lease renewal, which returns a listing, due at once. */
@@ -175,8 +177,8 @@
     bool canTakeWork(BootTime now) const;
     /** Capacity minus used(). */
     Resources freeCapacity() const;
-    /** Demand of all runs, including those being stopped and those that may still start. */
-    const Resources &used() const;
+    /** Demand of all runs, including those being stopped, those that may still start, and those of setUnknownRuns(). */
+    Resources used() const;
     /** Numbers of runs that have a tail latency target, that are long-running, and that are best-effort. */
     int servingCount() const;
     int longRunningCount() const;
@@ -227,6 +229,8 @@
     std::deque<std::pair<std::uint64_t, std::uint64_t>> m_deferredAcknowledgements;
     std::map<TaskName, LiveRun> m_runs;
     Resources m_used;
+    std::size_t m_unknownRunCount = 0;
+    Resources m_usedByUnknownRuns;
     int m_servingCount = 0;
     int m_longRunningCount = 0;
     int m_bestEffortCount = 0;
--- a/libs/scheduling/src/details/schedulerimpl.h
+++ b/libs/scheduling/src/details/schedulerimpl.h
@@ -216,6 +216,8 @@
     void applyEnd(WorkerSession &session, const ListedEnd &end, BootTime now, std::int64_t wallMs);
     void recordRunTime(const JobEntry &entry, const ListedEnd &end, const LiveRun &run, BootTime now);
     void applyRunning(WorkerSession &session, const ListedRun &run, BootTime now);
+    /** Stops the listed runs that this owner did not add, and counts them as used until a listing lacks them. */
+    void applyUnknownRuns(WorkerSession &session, const Listing &listing);
     void applyAbsent(WorkerSession &session, const RenewLeaseOrder &order, BootTime sentAt, const Listing &listing, std::int64_t wallMs);
 
     // Time.
--- a/libs/scheduling/src/schedulerresults.cpp
+++ b/libs/scheduling/src/schedulerresults.cpp
@@ -193,6 +193,7 @@
     for (const ListedRun &run : listing.running) {
         applyRunning(session, run, now);
     }
+    applyUnknownRuns(session, listing);
     applyAbsent(session, order, sentAt, listing, wallMs);
     if (!listing.ended.empty()) {
         session.deferAcknowledgement(listing.ended.back().number, durableBatch(), now);
@@ -251,10 +252,6 @@
 {
     const auto found = session.runs().find(listed.task);
     if (found == session.runs().end() || found->second.run != listed.run) {
-        // The run is obsolete: its job was closed or its task was placed again.
-        StopOrder stop{session.facts().id, listed.task, listed.run, session.token()};
-        emitEvent("stop-wanted", listed.task, listed.run, session.facts().id, "unknown run");
-        orders.emplace_back(std::move(stop));
         return;
     }
     LiveRun &run = found->second;
@@ -274,6 +271,32 @@
     }
 }
 
+// Such a run is obsolete: its job was closed or its task was placed again.
+void Scheduler::Impl::applyUnknownRuns(WorkerSession &session, const Listing &listing)
+{
+    std::size_t count = 0;
+    Resources demand;
+    for (const ListedRun &listed : listing.running) {
+        const auto known = session.runs().find(listed.task);
+        if (known != session.runs().end() && known->second.run == listed.run) {
+            continue;
+        }
+        ++count;
+        const JobEntry *entry = findEntry(listed.task.job);
+        if (entry == nullptr || listed.task.ref.step >= entry->job.record().spec.steps.size()) {
+            // The demand of a run of a job that was dropped is not known, so the worker counts as full.
+            demand += session.facts().capacity;
+        } else if (const StepSpec &step = entry->job.step(listed.task.ref); step.bestEffort) {
+            demand += Resources{0, step.demand.memory, step.demand.gpu};
+        } else {
+            demand += step.demand;
+        }
+        emitEvent("stop-wanted", listed.task, listed.run, session.facts().id, "unknown run");
+        orders.emplace_back(StopOrder{session.facts().id, listed.task, listed.run, session.token()});
+    }
+    session.setUnknownRuns(count, demand);
+}
+
 void Scheduler::Impl::applyAbsent(WorkerSession &session, const RenewLeaseOrder &order, BootTime sentAt, const Listing &listing, std::int64_t wallMs)
 {
     std::set<TaskName> present;
--- a/libs/scheduling/src/workersession.cpp
+++ b/libs/scheduling/src/workersession.cpp
@@ -76,7 +76,8 @@
 
 std::optional<RenewLeaseOrder> WorkerSession::nextLeaseRenewal(BootTime now, std::chrono::milliseconds maxWait)
 {
-    const bool needed = !m_runs.empty() || !m_confirmed || m_sentAcknowledgedEnd < m_acknowledgedEnd || !m_deferredAcknowledgements.empty();
+    const bool needed
+        = !m_runs.empty() || m_unknownRunCount > 0 || !m_confirmed || m_sentAcknowledgedEnd < m_acknowledgedEnd || !m_deferredAcknowledgements.empty();
     if (!needed || now < m_nextRenewalAt || m_probeInFlight) {
         return std::nullopt;
     }
@@ -210,6 +211,12 @@
     }
 }
 
+void WorkerSession::setUnknownRuns(std::size_t count, const Resources &demand)
+{
+    m_unknownRunCount = count;
+    m_usedByUnknownRuns = demand;
+}
+
 void WorkerSession::requestListing(BootTime now)
 {
     m_nextRenewalAt = std::min(m_nextRenewalAt, now);
@@ -316,12 +323,12 @@
 
 Resources WorkerSession::freeCapacity() const
 {
-    return m_facts.capacity - m_used;
+    return m_facts.capacity - used();
 }
 
-const Resources &WorkerSession::used() const
+Resources WorkerSession::used() const
 {
-    return m_used;
+    return m_used + m_usedByUnknownRuns;
 }
 
 int WorkerSession::servingCount() const
--- a/libs/scheduling/tests/schedulertest.cpp
+++ b/libs/scheduling/tests/schedulertest.cpp
@@ -162,6 +162,33 @@
     simulateSeeds(faults, 0.6);
 }
 
+// Guards against starts beside a run that the owner has given up, and that its worker is still stopping.
+BOOST_AUTO_TEST_CASE(runsThatTheOwnerDoesNotKnowOccupyTheirWorker)
+{
+    ScriptedFleet fleet({"w"});
+    fleet.run(100ms);
+    StepSpec step;
+    step.demand = {3000, 100, 0};
+    step.estimateMs = 500;
+    fleet.submit("closed", {step});
+    fleet.scheduler.cancel("closed", 1);
+    fleet.stopDelay = 700ms;
+    StepSpec small = step;
+    small.demand = {500, 100, 0};
+    fleet.submit("small", {small});
+    fleet.run(100ms);
+    BOOST_REQUIRE(fleet.starts.size() == 1U);
+    fleet.running["w"][{"closed", {0, 0, 0}}] = 7;
+    fleet.run(100ms);
+    fleet.submit("next", {step});
+    fleet.run(500ms);
+    BOOST_TEST(!fleet.stops.empty());
+    BOOST_TEST(fleet.starts.size() == 1U);
+    fleet.run(1s);
+    BOOST_REQUIRE(fleet.starts.size() == 2U);
+    BOOST_TEST(fleet.running["w"].count({"closed", {0, 0, 0}}) == 0U);
+}
+
 // Guards against starts that were decided before the capacity of their worker shrank.
 BOOST_AUTO_TEST_CASE(startsRespectACapacityThatShrinks)
 {
--- a/libs/scheduling/tests/scriptedfleet.cpp
+++ b/libs/scheduling/tests/scriptedfleet.cpp
@@ -134,9 +134,11 @@
         executeStart(*start);
     } else if (const StopOrder *stop = std::get_if<StopOrder>(&order)) {
         stops.push_back(*stop);
-        if (running[stop->worker].count(stop->task) != 0) {
-            end(stop->worker, stop->task, RunEnd::Stopped);
-        }
+        m_scheduled.emplace_back(now + stopDelay, [this, stop = *stop] {
+            if (running[stop.worker].count(stop.task) != 0) {
+                end(stop.worker, stop.task, RunEnd::Stopped);
+            }
+        });
         scheduler.handleStopResult(*stop, OrderAccepted{ClockMs}, now);
     } else if (const ThrottleOrder *throttle = std::get_if<ThrottleOrder>(&order)) {
         throttles.push_back(*throttle);
--- a/libs/scheduling/tests/scriptedfleet.h
+++ b/libs/scheduling/tests/scriptedfleet.h
@@ -49,6 +49,8 @@
     /** Tasks that crash each worker 10 ms after it has started them. */
     std::set<TaskName> crashingTasks;
     std::size_t crashes = 0;
+    /** Time that a worker takes to stop a run. */
+    std::chrono::milliseconds stopDelay{0};
 
 private:
     void execute(const Order &order);
