--- a/libs/jobs/src/jobcodec.cpp
+++ b/libs/jobs/src/jobcodec.cpp
@@ -17,6 +17,36 @@
     }
 };
 
+/** The fields of a record of version 1, which has neither workers nor crashes. */
+struct RecordVersion1 {
+    JobRecord record;
+
+    auto fields()
+    {
+        return std::tie(record.id,
+                        record.queue,
+                        record.account,
+                        record.submittedMs,
+                        record.closedMs,
+                        record.state,
+                        record.hasStarted,
+                        record.terms,
+                        record.spec,
+                        record.nextOccurrence,
+                        record.occurrences);
+    }
+};
+
+struct VersionedJobVersion1 {
+    std::uint32_t version = 1;
+    RecordVersion1 record;
+
+    auto fields()
+    {
+        return std::tie(version, record);
+    }
+};
+
 }
 
 std::string encodeJob(const JobRecord &record)
@@ -27,10 +57,14 @@
 std::optional<JobRecord> decodeJob(std::string_view bytes)
 {
     std::optional<VersionedJob> job = Packing::fromBytes<VersionedJob>(bytes);
-    if (!job || job->version != JobRecordVersion) {
-        return std::nullopt;
+    if (job && job->version == JobRecordVersion) {
+        return std::move(job->record);
+    }
+    std::optional<VersionedJobVersion1> former = Packing::fromBytes<VersionedJobVersion1>(bytes);
+    if (former && former->version == 1) {
+        return std::move(former->record.record);
     }
-    return std::move(job->record);
+    return std::nullopt;
 }
 
 }
--- a/libs/jobs/tests/jobstest.cpp
+++ b/libs/jobs/tests/jobstest.cpp
@@ -288,6 +288,19 @@
 
 // Applies placements, ends and losses of runs, cancellations and reloads from the record in random order. Run numbers must
 // increase, a task must have at most one run at a time, and a finished task must not run again.
+// Written by the former version: a queued job "a" of queue "q" without steps.
+BOOST_AUTO_TEST_CASE(recordsOfTheFormerVersionAreRead)
+{
+    using namespace std::string_literals;
+    const std::string bytes = "\x92\x01\x9b\xa1\x61\xa1\x71\xa0\x00\x00\x00\xc2\x95\xa0\x00\x01\x01\x00\x93\xa0\x90\x93\x00\x00\x00\x00\x90"s;
+    const std::optional<JobRecord> read = decodeJob(bytes);
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(read->id == "a");
+    BOOST_TEST(read->queue == "q");
+    BOOST_TEST(read->workers.empty());
+    BOOST_TEST(read->crashes.empty());
+}
+
 BOOST_AUTO_TEST_CASE(randomEventsKeepTheInvariantsOfJobs)
 {
     const bool isSatisfied = rc::check("run numbers increase, one run at a time, none after the task finished", [](const std::vector<std::uint16_t> &choices) {
