Find a new owner through the former one while the store is away

Three nodes lose the store from 1 s to 13 s. If one of them owned the jobs, another node took over at 2 s, but the other two passed every call to the former owner until 13 s, which refused them; the new owner was within reach all the time.

Cause: nodes knew an owner from the ownership log alone. It depends on which node owns first, so it is neither load nor chance.

Change: a new owner announces itself to its predecessor; a node that is not the owner answers with the later owner that it knows of; the calling node keeps the route, and hands the call on, which has not run. What a peer says is a route and no permission: the owner checks its own, and a former owner that is told of a later one ends its ownership.

Evidence: nodesWithoutTheStoreFindANewOwnerThroughTheFormerOne fails without the announcement (30 s without an owner) and passes with it.

Looked for siblings: configuration and keys (must not rest on a peer's word), the registry of workers (read by the owner, which has the store), successors (told on release).

--- a/libs/jobnode/include/jobnode/jobcall.h
+++ b/libs/jobnode/include/jobnode/jobcall.h
@@ -22,10 +22,26 @@
     CountPending,
     /** A node offers to query the advice service for the owner, and reports the result of its previous query. */
     ExchangeAdvice,
+    /** A new owner tells its predecessor, so that nodes that cannot read the ownership log find the new owner through it. */
+    AnnounceOwner,
 };
 
 std::string_view toName(JobCallKind kind);
 
+/** Where the owner of the jobs takes calls. Heard from a peer, it serves to find the owner, never as a permission to act. */
+struct OwnerRoute {
+    std::string node;
+    std::int64_t incarnation = 0;
+    std::string address;
+    /** 0 for no route. */
+    std::uint64_t epoch = 0;
+
+    auto fields()
+    {
+        return std::tie(node, incarnation, address, epoch);
+    }
+};
+
 /** The result of a query that a node sent to the advice service for the owner. */
 struct AdviceReport {
     /** The query; its job is empty if there is no result to report. */
@@ -55,10 +71,12 @@
     AdviceReport advice;
     /** Cpu of the node that forwards the call, in thousandths of a core; 0 if the call was not forwarded. */
     std::uint32_t nodeCpuMillicores = 0;
+    /** Set for AnnounceOwner only. */
+    OwnerRoute owner;
 
     auto fields()
     {
-        return std::tie(kind, queue, account, job, spec, deadlineMs, advice, nodeCpuMillicores);
+        return std::tie(kind, queue, account, job, spec, deadlineMs, advice, nodeCpuMillicores, owner);
     }
 };
 
@@ -94,10 +112,12 @@
     std::string reason;
     /** The query to send; set for Advice. */
     AdviceOrder advice;
+    /** The owner as far as the answering node knows; may be set for NotRun. */
+    OwnerRoute owner;
 
     auto fields()
     {
-        return std::tie(kind, state, pending, retryAfterMs, reason, advice);
+        return std::tie(kind, state, pending, retryAfterMs, reason, advice, owner);
     }
 
     static JobAnswer notRun(std::string reason, std::int64_t retryAfterMs);
--- a/libs/jobnode/include/jobnode/ownershipview.h
+++ b/libs/jobnode/include/jobnode/ownershipview.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jobnode/jobcall.h"
 #include "jobnode/ports.h"
 #include "timing/instant.h"
 
@@ -51,12 +52,19 @@
     // Commands.
     /** Applies a page that was read from the ownership log, with or without records; ignored if a later page was applied before. */
     void notePage(const OwnershipPage &page, BootTime now);
+    /** Keeps a route that a peer told, if it is of a later epoch than all that is known. */
+    void noteRoute(const OwnerRoute &route);
     /** Records that a read of the ownership log failed. */
     void noteFailure();
 
     // Queries.
     /** The newest record; nothing if no record has been read. */
     const std::optional<OwnershipRecord> &owner() const;
+    /**
+     * Where to send calls for the owner: the owner in the log, or a later one that a peer told of. The owner checks its own
+     * permission, so a wrong route does no harm. Nothing if no owner is known or the owner released the jobs.
+     */
+    std::optional<OwnerRoute> route() const;
     /** Offset after the last known record, where the next one is appended. */
     std::uint64_t endOffset() const;
     /** Whether the ownership log has been read at least once. */
@@ -76,6 +84,7 @@
     std::chrono::milliseconds m_claimDelay;
     std::string m_selfName;
     std::optional<OwnershipRecord> m_owner;
+    OwnerRoute m_toldRoute;
     std::uint64_t m_endOffset = 0;
     bool m_hasReadLog = false;
     /** No page has been read, or a read has failed since the latest page. */
--- a/libs/jobnode/src/details/jobnodeimpl.h
+++ b/libs/jobnode/src/details/jobnodeimpl.h
@@ -40,6 +40,7 @@
         , timer(ioContext)
         , heartbeatTimer(ioContext)
         , adviceTimer(ioContext)
+        , announcementTimer(ioContext)
         , takeoversTotal(metricsRegistry.counter("takeovers_total", "Times that this node became the owner of the jobs"))
         , forwardedTotal(metricsRegistry.counter("calls_handed_on_total", "Calls forwarded to the owner of the jobs"))
         , ownerGauge(metricsRegistry.gauge("owner", "1 while this node owns the jobs"))
@@ -63,6 +64,7 @@
     /** While this node is the owner, for heartbeats; otherwise for repeated attempts to store a release and to check whether a claim is due. */
     asio::steady_timer heartbeatTimer;
     asio::steady_timer adviceTimer;
+    asio::steady_timer announcementTimer;
     Counter takeoversTotal;
     Counter forwardedTotal;
     Gauge ownerGauge;
@@ -125,7 +127,14 @@
     bool isOwn(const OwnershipRecord &record) const;
     void dialOwner();
     void handle(const JobCall &call, const Responder &respond);
-    void forward(const JobCall &call, const Responder &respond);
+    /** Sends the call to the owner. If that node is not the owner and tells of a later one, that one is tried @p redirectsLeft times. */
+    void forward(const JobCall &call, const Responder &respond, int redirectsLeft);
+    void handleForwarded(const Incarnation &from, const JobCall &call, const Responder &respond);
+    /** Tells the predecessor that this node owns the jobs, and repeats that while it fails. */
+    void announceOwnership(int attemptsMade);
+    void handleAnnouncement(const OwnerRoute &route);
+    /** Whether @p route leads to this process. */
+    bool isOwn(const OwnerRoute &route) const;
     bool needsAdvice() const;
     void scheduleAdviceOffer(std::chrono::milliseconds delay, AdviceReport report);
     /** Offers the owner to send its queries to the advice service, and repeats; waits while no queue uses the service. */
--- a/libs/jobnode/src/jobcall.cpp
+++ b/libs/jobnode/src/jobcall.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 5> CallNames = {"submit", "state", "cancel", "count-pending", "take-advice"};
+constexpr std::array<std::string_view, 6> CallNames = {"submit", "state", "cancel", "count-pending", "take-advice", "announce-owner"};
 constexpr std::array<std::string_view, 7> AnswerNames = {"done", "state", "pending", "unknown-job", "not-run", "unknown", "advice"};
 constexpr std::array<std::string_view, 4> FailureNames = {"refused", "unanswered", "conflict", "fenced"};
 
--- a/libs/jobnode/src/jobnode.cpp
+++ b/libs/jobnode/src/jobnode.cpp
@@ -20,6 +20,12 @@
 constexpr std::chrono::milliseconds AdviceCheckInterval = 200ms;
 // Timeout of an offer to query the advice service; the owner answers it within a second.
 constexpr std::int64_t AdviceOfferTimeoutMs = 2000;
+// A node that has lost the store knows the former owner, which tells it of the present one; that one may have been succeeded too.
+constexpr int MaxRedirects = 2;
+// The predecessor may be cut off or frozen for some seconds; one whose process ended does not answer at all.
+constexpr std::chrono::milliseconds AnnouncementTimeout = 500ms;
+constexpr std::chrono::milliseconds AnnouncementRetryDelay = 500ms;
+constexpr int MaxAnnouncements = 12;
 
 }
 
@@ -40,23 +46,78 @@
                            reply(encode(JobAnswer::notRun("not understood", ForwardRetryAfterMs)));
                            return;
                        }
-                       const auto respond = [reply](const JobAnswer &answer) {
+                       self->handleForwarded(from, *call, [reply](const JobAnswer &answer) {
                            reply(encode(answer));
-                       };
-                       if (self->jobOwner) {
-                           self->forwardingNodes[from.name] = {from.number, call->nodeCpuMillicores, BootClock::now()};
-                           self->jobOwner->handle(*call, respond);
-                       } else {
-                           respond(JobAnswer::notRun("not the owner of the jobs", ForwardRetryAfterMs));
-                       }
+                       });
                    });
                })
                .build();
 }
 
+void JobNode::Impl::handleForwarded(const Incarnation &from, const JobCall &call, const Responder &respond)
+{
+    if (call.kind == JobCallKind::AnnounceOwner) {
+        handleAnnouncement(call.owner);
+        respond(JobAnswer::of(JobAnswerKind::Done));
+        return;
+    }
+    if (jobOwner) {
+        forwardingNodes[from.name] = {from.number, call.nodeCpuMillicores, BootClock::now()};
+        jobOwner->handle(call, respond);
+        return;
+    }
+    JobAnswer answer = JobAnswer::notRun("not the owner of the jobs", ForwardRetryAfterMs);
+    answer.owner = view.route().value_or(OwnerRoute{});
+    respond(answer);
+}
+
+// A node that has lost the store learns here that its ownership is over.
+void JobNode::Impl::handleAnnouncement(const OwnerRoute &route)
+{
+    logChange("node", "owner told by a peer", {{"node", route.node}, {"epoch", std::to_string(route.epoch)}});
+    view.noteRoute(route);
+    if (jobOwner && route.epoch > jobOwner->epoch()) {
+        endOwnership("a later owner announced itself");
+    }
+    dialOwner();
+}
+
+void JobNode::Impl::announceOwnership(int attemptsMade)
+{
+    if (!predecessor || predecessor->released || predecessor->node == settings.name || attemptsMade >= MaxAnnouncements) {
+        return;
+    }
+    const std::optional<Address> address = parseAddress(predecessor->address);
+    if (!address) {
+        return;
+    }
+    mesh->setPeers({{{predecessor->node, static_cast<std::uint64_t>(predecessor->incarnation)}, *address}});
+    ownerEndpoint.reset();
+    JobCall call;
+    call.kind = JobCallKind::AnnounceOwner;
+    const OwnershipRecord record = ownRecord();
+    call.owner = {record.node, record.incarnation, record.address, record.epoch};
+    mesh->request(predecessor->node,
+                  encode(call),
+                  AnnouncementTimeout,
+                  [self = shared_from_this(), epoch = record.epoch, attemptsMade](const tl::expected<std::string, PeerFailure> &reply) {
+                      asio::post(self->io, [self, epoch, attemptsMade, isAnswered = reply.has_value()] {
+                          if (isAnswered || self->stopped) {
+                              return;
+                          }
+                          self->announcementTimer.expires_after(AnnouncementRetryDelay);
+                          self->announcementTimer.async_wait([self, epoch, attemptsMade](const asio::error_code &error) {
+                              if (!error && self->jobOwner && self->jobOwner->epoch() == epoch) {
+                                  self->announceOwnership(attemptsMade + 1);
+                              }
+                          });
+                      });
+                  });
+}
+
 void JobNode::Impl::dialOwner()
 {
-    const std::optional<OwnershipRecord> &owner = view.owner();
+    const std::optional<OwnerRoute> owner = view.route();
     if (!owner || isOwn(*owner)) {
         return;
     }
@@ -77,15 +138,20 @@
         jobOwner->handle(call, respond);
         return;
     }
-    const std::optional<OwnershipRecord> &owner = view.owner();
-    if (!owner || isOwn(*owner) || owner->released) {
+    const std::optional<OwnerRoute> owner = view.route();
+    if (!owner || isOwn(*owner)) {
         respond(JobAnswer::notRun("no node owns the jobs at the moment", NoOwnerRetryAfterMs));
         return;
     }
-    forward(call, respond);
+    forward(call, respond, MaxRedirects);
 }
 
-void JobNode::Impl::forward(const JobCall &call, const Responder &respond)
+bool JobNode::Impl::isOwn(const OwnerRoute &route) const
+{
+    return route.node == settings.name && route.incarnation == incarnation;
+}
+
+void JobNode::Impl::forward(const JobCall &call, const Responder &respond, int redirectsLeft)
 {
     const std::int64_t timeLeftMs = call.deadlineMs - toUnixMilliseconds(wallNow()) - ForwardMarginMs;
     if (timeLeftMs <= 0) {
@@ -95,17 +161,26 @@
     forwardedTotal.increment();
     JobCall forwarded = call;
     forwarded.nodeCpuMillicores = static_cast<std::uint32_t>(settings.cpuShare * 1000);
-    mesh->request(view.owner()->node,
+    const OwnerRoute owner = view.route().value_or(OwnerRoute{});
+    mesh->request(owner.node,
                   encode(forwarded),
                   std::chrono::milliseconds(timeLeftMs),
-                  [self = shared_from_this(), respond](tl::expected<std::string, PeerFailure> reply) {
-                      asio::post(self->io, [respond, reply = std::move(reply)] {
+                  [self = shared_from_this(), call, respond, owner, redirectsLeft](tl::expected<std::string, PeerFailure> reply) {
+                      asio::post(self->io, [self, call, respond, owner, redirectsLeft, reply = std::move(reply)] {
                           if (!reply) {
                               respond(reply.error() == PeerFailure::NotSent ? JobAnswer::notRun("the owner of the jobs cannot be reached", ForwardRetryAfterMs)
                                                                             : JobAnswer::unknown("the owner of the jobs did not answer"));
                               return;
                           }
                           const std::optional<JobAnswer> answer = decodeJobAnswer(*reply);
+                          if (answer && answer->kind == JobAnswerKind::NotRun && answer->owner.epoch > owner.epoch && redirectsLeft > 0) {
+                              self->view.noteRoute(answer->owner);
+                              self->dialOwner();
+                              if (!self->stopped && self->ownerEndpoint) {
+                                  self->forward(call, respond, redirectsLeft - 1);
+                                  return;
+                              }
+                          }
                           respond(answer ? *answer : JobAnswer::unknown("the owner's answer cannot be read"));
                       });
                   });
@@ -130,8 +205,8 @@
 
 void JobNode::Impl::offerAdvice(AdviceReport report)
 {
-    const std::optional<OwnershipRecord> &owner = view.owner();
-    if (jobOwner || releasing || !needsAdvice() || !owner || isOwn(*owner) || owner->released) {
+    const std::optional<OwnerRoute> owner = view.route();
+    if (jobOwner || releasing || !needsAdvice() || !owner || isOwn(*owner)) {
         scheduleAdviceOffer(AdviceCheckInterval, {});
         return;
     }
@@ -139,20 +214,23 @@
     call.kind = JobCallKind::ExchangeAdvice;
     call.deadlineMs = toUnixMilliseconds(wallNow()) + AdviceOfferTimeoutMs;
     call.advice = std::move(report);
-    forward(call, [self = shared_from_this()](const JobAnswer &answer) {
-        if (self->stopped) {
-            return;
-        }
-        if (answer.kind != JobAnswerKind::Advice) {
-            self->scheduleAdviceOffer(answer.retryAfterMs > 0 ? std::chrono::milliseconds(answer.retryAfterMs) : AdviceCheckInterval, {});
-            return;
-        }
-        self->workers.advise(answer.advice, [self, order = answer.advice](const AdviceResult &result) {
-            if (!self->stopped) {
-                self->offerAdvice({order, result.has_value(), result.value_or(std::vector<Permission>{})});
+    forward(
+        call,
+        [self = shared_from_this()](const JobAnswer &answer) {
+            if (self->stopped) {
+                return;
             }
-        });
-    });
+            if (answer.kind != JobAnswerKind::Advice) {
+                self->scheduleAdviceOffer(answer.retryAfterMs > 0 ? std::chrono::milliseconds(answer.retryAfterMs) : AdviceCheckInterval, {});
+                return;
+            }
+            self->workers.advise(answer.advice, [self, order = answer.advice](const AdviceResult &result) {
+                if (!self->stopped) {
+                    self->offerAdvice({order, result.has_value(), result.value_or(std::vector<Permission>{})});
+                }
+            });
+        },
+        MaxRedirects);
 }
 
 JobNode::JobNode(
@@ -207,6 +285,7 @@
     m_impl->timer.cancel();
     m_impl->heartbeatTimer.cancel();
     m_impl->adviceTimer.cancel();
+    m_impl->announcementTimer.cancel();
     if (m_impl->jobOwner) {
         m_impl->jobOwner->end();
         m_impl->jobOwner = nullptr;
@@ -253,7 +332,7 @@
 
 bool JobNode::knowsOwner() const
 {
-    return m_impl->jobOwner || (m_impl->view.owner() && !m_impl->view.owner()->released);
+    return m_impl->jobOwner || m_impl->view.route().has_value();
 }
 
 std::shared_ptr<const NodeConfiguration> JobNode::configuration() const
--- a/libs/jobnode/src/jobnodeownership.cpp
+++ b/libs/jobnode/src/jobnodeownership.cpp
@@ -244,6 +244,7 @@
     }
     jobOwner->begin(configuration->policy);
     scheduleHeartbeat(settings.ownershipTimes.heartbeatInterval);
+    announceOwnership(0);
 }
 
 void JobNode::Impl::endOwnership(const std::string &reason)
--- a/libs/jobnode/src/jobownercalls.cpp
+++ b/libs/jobnode/src/jobownercalls.cpp
@@ -52,6 +52,10 @@
         return;
     }
     switch (call.kind) {
+    case JobCallKind::AnnounceOwner:
+        // The node handles announcements itself.
+        respond(JobAnswer::of(JobAnswerKind::Done));
+        break;
     case JobCallKind::Submit:
         submit(call, respond);
         break;
--- a/libs/jobnode/src/ownershipview.cpp
+++ b/libs/jobnode/src/ownershipview.cpp
@@ -54,6 +54,24 @@
     m_lastPageAt = now;
 }
 
+void OwnershipView::noteRoute(const OwnerRoute &route)
+{
+    if (route.epoch > m_toldRoute.epoch && (!m_owner || route.epoch > m_owner->epoch)) {
+        m_toldRoute = route;
+    }
+}
+
+std::optional<OwnerRoute> OwnershipView::route() const
+{
+    if (m_toldRoute.epoch > (m_owner ? m_owner->epoch : 0)) {
+        return m_toldRoute;
+    }
+    if (!m_owner || m_owner->released) {
+        return std::nullopt;
+    }
+    return OwnerRoute{m_owner->node, m_owner->incarnation, m_owner->address, m_owner->epoch};
+}
+
 void OwnershipView::noteFailure()
 {
     m_storeFailed = true;
--- a/libs/jobnode/tests/jobnodetest.cpp
+++ b/libs/jobnode/tests/jobnodetest.cpp
@@ -77,6 +77,26 @@
     BOOST_TEST(fleet.call(nonOwner, JobCallKind::CountPending, "").pending == 0U);
 }
 
+// Guards against nodes that cannot read the ownership log and pass their calls to the former owner until the store is back.
+BOOST_AUTO_TEST_CASE(nodesWithoutTheStoreFindANewOwnerThroughTheFormerOne)
+{
+    NodeFixture fleet(3);
+    JobNode &former = fleet.owner();
+    JobNode &cutOff = fleet.nonOwner();
+    fleet.callUntil(cutOff, JobCallKind::Submit, "0000000000000001", JobAnswerKind::Done);
+    for (std::size_t number = 0; number < fleet.nodes.size(); ++number) {
+        if (fleet.nodes[number].get() == &former || fleet.nodes[number].get() == &cutOff) {
+            fleet.platform.nodesWithoutStore.insert("node-" + std::to_string(number));
+        }
+    }
+    fleet.runUntil([&] {
+        return !former.isOwner();
+    });
+    BOOST_TEST((fleet.callUntil(cutOff, JobCallKind::Submit, "0000000000000002", JobAnswerKind::Done).kind == JobAnswerKind::Done));
+    BOOST_TEST((fleet.callUntil(former, JobCallKind::Submit, "0000000000000003", JobAnswerKind::Done).kind == JobAnswerKind::Done));
+    BOOST_TEST(!cutOff.isOwner());
+}
+
 BOOST_AUTO_TEST_CASE(aCancelledJobIsStopped)
 {
     NodeFixture fleet(2);
--- a/libs/jobnode/tests/nodefleet.h
+++ b/libs/jobnode/tests/nodefleet.h
@@ -57,6 +57,8 @@
     int answersToLose = 0;
     /** This many of the next claims and heartbeats fail with a conflict. */
     int conflictsToReport = 0;
+    /** All calls of these nodes to the store are refused. */
+    std::set<std::string> nodesWithoutStore;
     /** This node's calls to the ownership log are refused, those to the jobs are processed. */
     std::string nodeWithoutOwnershipLog;
     /** Reads of the ownership log by that node show the log as it was, with this end, instead of being refused. */
@@ -107,7 +109,7 @@
         StorePort port;
         port.newestOwnership = [this, node](const StorePort::OwnershipHandler &handler) {
             runLater([this, node, handler] {
-                if (isUnavailable || (node == nodeWithoutOwnershipLog && !staleOwnershipEnd)) {
+                if (isUnavailable || nodesWithoutStore.count(node) != 0 || (node == nodeWithoutOwnershipLog && !staleOwnershipEnd)) {
                     handler(tl::make_unexpected(StoreFailure::Refused));
                     return;
                 }
@@ -121,7 +123,7 @@
         port.followOwnership = [this, node](std::uint64_t from, std::chrono::milliseconds, const StorePort::OwnershipHandler &handler) {
             runLater(
                 [this, node, from, handler] {
-                    if (isUnavailable || (node == nodeWithoutOwnershipLog && !staleOwnershipEnd)) {
+                    if (isUnavailable || nodesWithoutStore.count(node) != 0 || (node == nodeWithoutOwnershipLog && !staleOwnershipEnd)) {
                         handler(tl::make_unexpected(StoreFailure::Refused));
                         return;
                     }
@@ -136,7 +138,7 @@
             = [this, node](const OwnershipRecord &record, std::uint64_t at, std::chrono::milliseconds, const StorePort::OffsetHandler &handler) {
                   runLater([this, node, record, at, handler] {
                       ++ownershipCalls;
-                      if (isUnavailable || node == nodeWithoutOwnershipLog) {
+                      if (isUnavailable || nodesWithoutStore.count(node) != 0 || node == nodeWithoutOwnershipLog) {
                           handler(tl::make_unexpected(StoreFailure::Refused));
                       } else if (resetsOwnershipCalls) {
                           handler(tl::make_unexpected(StoreFailure::Unanswered));
@@ -165,13 +167,17 @@
                 }
             });
         };
-        port.storeJobs = [this](StorePartition number,
-                                std::uint64_t epoch,
-                                std::uint64_t sequence,
-                                const auto &records,
-                                const std::vector<JobId> &dropped,
-                                const StorePort::OffsetHandler &handler) {
-            runLater([this, &partition = partitions.at(number), epoch, sequence, records, dropped, handler] {
+        port.storeJobs = [this, node](StorePartition number,
+                                      std::uint64_t epoch,
+                                      std::uint64_t sequence,
+                                      const auto &records,
+                                      const std::vector<JobId> &dropped,
+                                      const StorePort::OffsetHandler &handler) {
+            runLater([this, node, &partition = partitions.at(number), epoch, sequence, records, dropped, handler] {
+                if (nodesWithoutStore.count(node) != 0) {
+                    handler(tl::make_unexpected(StoreFailure::Refused));
+                    return;
+                }
                 store(partition, epoch, sequence, records, dropped, handler);
             });
         };
