Name incarnations of workers as elsewhere; explain a loss with its worker

Names only, but for one fault found on reading: a loss that was unconfirmed until its worker came back left the worker's name in the record, so the crash that was then proved was taken for a second one of the same worker, which proves nothing. The name now goes with the loss (aWorkerThatReturnsAfterItsLeaseHasCrashed checks that it is counted once).

--- a/libs/jobs/include/jobs/job.h
+++ b/libs/jobs/include/jobs/job.h
@@ -147,19 +147,19 @@
     bool operator==(const TaskCrashes &) const = default;
 };
 
-/** The life of a worker in which tasks were placed on it. */
-struct WorkerLife {
+/** The incarnation of a worker in which tasks were placed on it. */
+struct WorkerIncarnation {
     WorkerId worker;
-    /** Where the worker took orders; a later worker at this address shows that the life is over. */
+    /** Where the worker took orders; a later worker at this address shows that the incarnation is over. */
     std::string address;
-    /** Start of the life in milliseconds since 1970; 0 if unknown. A later start under the same id shows that the life is over. */
+    /** Start of the incarnation in milliseconds since 1970; 0 if unknown. A later start under the same id shows that the incarnation is over. */
     std::int64_t startTimeMs = 0;
 
     auto fields()
     {
         return std::tie(worker, address, startTimeMs);
     }
-    bool operator==(const WorkerLife &) const = default;
+    bool operator==(const WorkerIncarnation &) const = default;
 };
 
 /** The settings that a job takes from its queue, as of the latest configuration that contains the queue. */
@@ -216,7 +216,7 @@
     /** Occurrences that are opened and not finished. A job without recurrence keeps its only one when it is finished. */
     std::vector<Occurrence> occurrences;
     /** The workers of the placed tasks, and possibly of some that are not placed any more. */
-    std::vector<WorkerLife> workers;
+    std::vector<WorkerIncarnation> workers;
     /** Tasks under which workers crashed. */
     std::vector<TaskCrashes> crashes;
 
@@ -226,8 +226,8 @@
     }
     bool operator==(const JobRecord &) const = default;
 
-    /** The life of @p worker in which tasks of the job were placed, without address and start if it is not known. */
-    WorkerLife lifeOf(const WorkerId &worker) const;
+    /** The incarnation of @p worker in which tasks of the job were placed, without address and start if it is not known. */
+    WorkerIncarnation incarnationOf(const WorkerId &worker) const;
 };
 
 /** Effect of the end of a run on its task and its job. */
@@ -297,10 +297,10 @@
     EndOutcome countCrash(const TaskRef &ref, const WorkerId &worker, const CrashEvidence &evidence, std::uint32_t runsLostBeside, std::int64_t wallMs);
     /** A worker fell silent for good, maybe right after it was told to start the task, and may have crashed. See countCrash(). */
     EndOutcome countUnconfirmedLoss(const TaskRef &ref, const WorkerId &worker, std::int64_t wallMs);
-    /** What became of the worker of an unconfirmed loss is known now. */
-    void explainLoss(const TaskRef &ref);
-    /** Keeps @p life for the next owner, which needs it to learn what became of the worker. To be called with each placement. */
-    void noteWorker(const WorkerLife &life);
+    /** What became of @p worker is known now, so its unconfirmed loss does not count any more. */
+    void explainLoss(const TaskRef &ref, const WorkerId &worker);
+    /** Keeps @p incarnation for the next owner, which needs it to learn what became of the worker. To be called with each placement. */
+    void noteWorker(const WorkerIncarnation &incarnation);
     /** Forgets the crashes under the task, because it has proved to be sound. */
     void clearCrashes(const TaskRef &ref);
     /**
@@ -341,7 +341,7 @@
     std::uint32_t countFailures(const TaskRef &ref) const;
     /** The crashes under an unfinished task of an open job, counted from now on if there were none; null if there is no such task. */
     TaskCrashes *crashesOf(const TaskRef &ref);
-    EndOutcome judgeCrashes(const TaskCrashes &crashes, bool isConvicted, std::int64_t wallMs);
+    EndOutcome judgeCrashes(const TaskCrashes &crashes, bool isCertainCause, std::int64_t wallMs);
     bool isGangDone(const TaskRef &ref, std::uint32_t run) const;
     void finish(const TaskRef &ref, Task &task, std::int64_t wallMs);
 
--- a/libs/jobs/src/job.cpp
+++ b/libs/jobs/src/job.cpp
@@ -53,12 +53,12 @@
     return EndNames.at(static_cast<std::size_t>(end));
 }
 
-WorkerLife JobRecord::lifeOf(const WorkerId &worker) const
+WorkerIncarnation JobRecord::incarnationOf(const WorkerId &worker) const
 {
-    const auto found = std::find_if(workers.begin(), workers.end(), [&](const WorkerLife &life) {
-        return life.worker == worker;
+    const auto found = std::find_if(workers.begin(), workers.end(), [&](const WorkerIncarnation &incarnation) {
+        return incarnation.worker == worker;
     });
-    return found == workers.end() ? WorkerLife{worker, {}, 0} : *found;
+    return found == workers.end() ? WorkerIncarnation{worker, {}, 0} : *found;
 }
 
 Job::Job(JobRecord record)
@@ -158,17 +158,17 @@
     }
     // A worker that crashes again may be at fault itself.
     const bool isOtherWorker = std::find(crashes->workers.begin(), crashes->workers.end(), worker) == crashes->workers.end();
-    const bool convicts = evidence.isolated && isOtherWorker;
+    const bool isProof = evidence.isolated && isOtherWorker;
     crashes->runsLostBeside += runsLostBeside;
     crashes->workers.push_back(worker);
     switch (evidence.moment) {
     case CrashMoment::Startup:
         ++crashes->duringStartup;
-        crashes->isolatedDuringStartup += convicts ? 1 : 0;
-        return judgeCrashes(*crashes, convicts && evidence.quietFleet, wallMs);
+        crashes->isolatedDuringStartup += isProof ? 1 : 0;
+        return judgeCrashes(*crashes, isProof && evidence.quietFleet, wallMs);
     case CrashMoment::Later:
         ++crashes->later;
-        crashes->isolatedLater += convicts ? 1 : 0;
+        crashes->isolatedLater += isProof ? 1 : 0;
         break;
     case CrashMoment::Unknown:
         ++crashes->unconfirmed;
@@ -188,14 +188,19 @@
     return judgeCrashes(*crashes, false, wallMs);
 }
 
-void Job::explainLoss(const TaskRef &ref)
+void Job::explainLoss(const TaskRef &ref, const WorkerId &worker)
 {
     if (findCrashes(ref) == nullptr) {
         return;
     }
     TaskCrashes *crashes = crashesOf(ref);
-    if (crashes != nullptr && crashes->unconfirmed > 0) {
-        --crashes->unconfirmed;
+    if (crashes == nullptr || crashes->unconfirmed == 0) {
+        return;
+    }
+    --crashes->unconfirmed;
+    const auto named = std::find(crashes->workers.begin(), crashes->workers.end(), worker);
+    if (named != crashes->workers.end()) {
+        crashes->workers.erase(named);
     }
 }
 
@@ -216,11 +221,11 @@
     return &added;
 }
 
-EndOutcome Job::judgeCrashes(const TaskCrashes &crashes, bool isConvicted, std::int64_t wallMs)
+EndOutcome Job::judgeCrashes(const TaskCrashes &crashes, bool isCertainCause, std::int64_t wallMs)
 {
     const std::uint32_t confirmed = crashes.duringStartup + crashes.later;
     const std::uint32_t isolatedWeight = crashes.isolatedDuringStartup * StartupCrashWeight + crashes.isolatedLater * LaterCrashWeight;
-    const bool causesCrashes = isConvicted || isolatedWeight >= MaxIsolatedWeight || crashes.duringStartup >= MaxStartupCrashes;
+    const bool causesCrashes = isCertainCause || isolatedWeight >= MaxIsolatedWeight || crashes.duringStartup >= MaxStartupCrashes;
     if (!(causesCrashes && confirmed >= MinCrashes) && confirmed + crashes.unconfirmed < MaxCrashes) {
         return EndOutcome::TaskWaiting;
     }
@@ -229,9 +234,9 @@
     return EndOutcome::JobFailed;
 }
 
-void Job::noteWorker(const WorkerLife &life)
+void Job::noteWorker(const WorkerIncarnation &incarnation)
 {
-    if (std::find(m_record.workers.begin(), m_record.workers.end(), life) != m_record.workers.end()) {
+    if (std::find(m_record.workers.begin(), m_record.workers.end(), incarnation) != m_record.workers.end()) {
         return;
     }
     std::set<WorkerId> placedOn;
@@ -242,10 +247,10 @@
             }
         }
     }
-    std::erase_if(m_record.workers, [&](const WorkerLife &known) {
-        return known.worker == life.worker || placedOn.count(known.worker) == 0;
+    std::erase_if(m_record.workers, [&](const WorkerIncarnation &known) {
+        return known.worker == incarnation.worker || placedOn.count(known.worker) == 0;
     });
-    m_record.workers.push_back(life);
+    m_record.workers.push_back(incarnation);
 }
 
 void Job::clearCrashes(const TaskRef &ref)
--- a/libs/jobs/tests/jobstest.cpp
+++ b/libs/jobs/tests/jobstest.cpp
@@ -209,7 +209,7 @@
     BOOST_TEST(crashesUntilFailure({CrashMoment::Unknown, true, true}, 1) == 5U);
 }
 
-BOOST_AUTO_TEST_CASE(aWorkerThatCrashesAgainConvictsNoTask)
+BOOST_AUTO_TEST_CASE(aWorkerThatCrashesAgainProvesNothing)
 {
     Job job = makeJob({makeStep(1)});
     for (int crash = 0; crash < 3; ++crash) {
@@ -229,7 +229,7 @@
     BOOST_TEST(!job.isCrashSuspect({0, 0, 1}));
     job.countUnconfirmedLoss({0, 0, 1}, "x", Now);
     BOOST_TEST(job.isCrashSuspect({0, 0, 1}));
-    job.explainLoss({0, 0, 1});
+    job.explainLoss({0, 0, 1}, "x");
     BOOST_TEST(!job.isCrashSuspect({0, 0, 1}));
     BOOST_TEST(!job.isCrashSuspect({0, 0, 2}));
 }
@@ -266,8 +266,8 @@
     job.place({0, 0, 1}, "w2");
     job.noteWorker({"w2", "192.0.2.2:1", 8});
     BOOST_REQUIRE(job.record().workers.size() == 1U);
-    BOOST_TEST(job.record().lifeOf("w2").startTimeMs == 8);
-    BOOST_TEST(job.record().lifeOf("w1").address.empty());
+    BOOST_TEST(job.record().incarnationOf("w2").startTimeMs == 8);
+    BOOST_TEST(job.record().incarnationOf("w1").address.empty());
 }
 
 BOOST_AUTO_TEST_CASE(recordsSurviveEncodingAndDecoding)
--- a/libs/scheduling/include/scheduling/workersession.h
+++ b/libs/scheduling/include/scheduling/workersession.h
@@ -123,9 +123,9 @@
     void handleLeaseRenewalEnded(const RenewLeaseOrder &order);
     /** The worker stopped answering; @p silentSince is when that began, if it is known better than from the latest answer. */
     void markUnreachable(BootTime now, std::optional<BootTime> silentSince = std::nullopt);
-    /** The runs that were added were placed in the life of the worker that started at @p startTimeMs, in milliseconds since 1970. */
-    void assumeLife(std::int64_t startTimeMs);
-    /** The worker's present life is about to end by an order of this system, so its end is not a crash. */
+    /** The runs that were added were placed in the incarnation of the worker that started at @p startTimeMs, in milliseconds since 1970. */
+    void assumeIncarnation(std::int64_t startTimeMs);
+    /** The worker's present incarnation is about to end by an order of this system, so its end is not a crash. */
     void expectEnd();
     /** An order that extends the lease is being sent. */
     void recordLeaseExtension(BootTime now);
@@ -154,12 +154,12 @@
     std::optional<std::int64_t> leaseUntil(BootTime now) const;
     bool isReachable() const;
     bool isRegistered() const;
-    /** The present life of the worker is to end in order: it is draining, or this system ordered its end. */
+    /** The present incarnation of the worker is to end in order: it is draining, or this system ordered its end. */
     bool isEndExpected() const;
-    /** Start of the worker's present life in milliseconds since 1970, as its listings tell; 0 before the first one. */
+    /** Start of the worker's present incarnation in milliseconds since 1970, as its listings tell; 0 before the first one. */
     std::int64_t startTimeMs() const;
-    /** Whether @p listing comes from a later life of the worker than the former listings. */
-    bool isLaterLife(const Listing &listing) const;
+    /** Whether @p listing comes from a later incarnation of the worker than the former listings. */
+    bool isLaterIncarnation(const Listing &listing) const;
     /** While the worker is unreachable: since when; otherwise the time of its latest answer. */
     BootTime aliveUntil() const;
     bool isLeaseExtensionSuspended() const;
--- a/libs/scheduling/src/details/schedulerimpl.h
+++ b/libs/scheduling/src/details/schedulerimpl.h
@@ -117,7 +117,7 @@
     std::set<WorkerId> leaving;
     std::map<std::string, Resources> accountUsed;
     std::map<std::string, SubmissionBucket> buckets;
-    /** By worker; resolved once the same life of the worker, or a later one, answers. */
+    /** By worker; resolved once the same incarnation of the worker, or a later one, answers. */
     std::map<WorkerId, SilentLoss> silentLosses;
     JobIsolation isolation;
     /** Begins with the first advance(). */
@@ -174,22 +174,22 @@
     void stopGangMembers(const JobEntry &entry, const TaskName &task, std::uint32_t run, std::int64_t wallMs);
 
     // Crashes.
-    /** Whether the end of the worker's present life would be no crash. */
+    /** Whether the end of the worker's present incarnation would be no crash. */
     bool isEndExpected(const WorkerSession &session) const;
     /** The worker does not answer; see WorkerSession::markUnreachable(). */
     void markUnreachable(WorkerSession &session, BootTime now, std::optional<BootTime> silentSince = std::nullopt);
-    /** A life of the worker is over, and with it all runs that it had; @p sign tells how that is known. */
+    /** An incarnation of the worker is over, and with it all runs that it had; @p sign tells how that is known. */
     void handleWorkerEnd(WorkerSession &session, std::string_view sign, BootTime now, std::int64_t wallMs);
     /** The runs of the worker are lost without a sign of what became of it. */
     void noteSilentLoss(WorkerSession &session, BootTime now, std::int64_t wallMs);
-    /** The worker's life that was silent goes on. */
+    /** The worker's incarnation that was silent goes on. */
     void resolveSilentLoss(const WorkerId &worker);
     void forgetSilentLosses(BootTime now);
     void
     countCrash(const WorkerId &worker, const TaskName &task, const CrashEvidence &evidence, std::uint32_t runsLostBeside, BootTime now, std::int64_t wallMs);
     /** The crashes under a task were counted anew, with @p outcome. */
     void noteCrashCount(JobEntry &entry, const TaskRef &ref, const WorkerId &worker, EndOutcome outcome, BootTime now);
-    void explainLoss(const TaskName &task);
+    void explainLoss(const TaskName &task, const WorkerId &worker);
     void giveUpJob(JobEntry &entry, const TaskRef &ref, BootTime now);
     /** Forgets the crashes under a long-running task that has proved to be sound. */
     void clearCrashes(const TaskName &task, LiveRun &run);
--- a/libs/scheduling/src/scheduler.cpp
+++ b/libs/scheduling/src/scheduler.cpp
@@ -132,10 +132,10 @@
                 run.hasCrashes = entry.job.findCrashes({occurrence.number, step, index}) != nullptr;
                 run.placedOrAcceptedAt = now;
                 run.stop = entry.job.isOpen() ? StopProgress::NotWanted : StopProgress::Due;
-                const WorkerLife life = restored.lifeOf(task.worker);
+                const WorkerIncarnation incarnation = restored.incarnationOf(task.worker);
                 WorkerFacts facts;
                 facts.id = task.worker;
-                facts.address = life.address;
+                facts.address = incarnation.address;
                 const auto [worker, added] = m_impl->workers.try_emplace(task.worker, facts, m_impl->firstToken, m_impl->times.lease);
                 if (added) {
                     const auto unreachable = m_impl->predecessor.unreachable.find(task.worker);
@@ -143,7 +143,7 @@
                     worker->second.assumeLease(
                         now + (unreachable == m_impl->predecessor.unreachable.end() ? m_impl->predecessor.otherWorkers : unreachable->second));
                 }
-                worker->second.assumeLife(life.startTimeMs);
+                worker->second.assumeIncarnation(incarnation.startTimeMs);
                 m_impl->addRun(worker->second, {id, {occurrence.number, step, index}}, entry, std::move(run));
             }
         }
--- a/libs/scheduling/src/schedulercrashes.cpp
+++ b/libs/scheduling/src/schedulercrashes.cpp
@@ -72,7 +72,7 @@
     evidence.insert(former.evidence.begin(), former.evidence.end());
     for (const auto &[task, runEvidence] : evidence) {
         if (former.evidence.count(task) != 0 && runEvidence.moment != CrashMoment::Later) {
-            explainLoss(task);
+            explainLoss(task, worker);
         }
         if (!isExpected) {
             countCrash(worker, task, runEvidence, static_cast<std::uint32_t>(evidence.size() - 1), now, wallMs);
@@ -110,10 +110,10 @@
     }
 }
 
-void Scheduler::Impl::explainLoss(const TaskName &task)
+void Scheduler::Impl::explainLoss(const TaskName &task, const WorkerId &worker)
 {
     if (JobEntry *entry = findEntry(task.job)) {
-        entry->job.explainLoss(task.ref);
+        entry->job.explainLoss(task.ref, worker);
         markDirty(*entry);
     }
 }
@@ -161,7 +161,7 @@
     }
     for (const auto &[task, evidence] : loss->second.evidence) {
         if (evidence.moment != CrashMoment::Later) {
-            explainLoss(task);
+            explainLoss(task, worker);
         }
     }
     silentLosses.erase(loss);
--- a/libs/scheduling/src/schedulerresults.cpp
+++ b/libs/scheduling/src/schedulerresults.cpp
@@ -181,7 +181,7 @@
         emitEvent("worker-reached", {}, 0, order.worker, "start time " + std::to_string(listing.startTimeMs));
         placementNeeded = true;
     }
-    if (session.isLaterLife(listing)) {
+    if (session.isLaterIncarnation(listing)) {
         handleWorkerEnd(session, "restarted under its id", now, wallMs);
     } else {
         resolveSilentLoss(session.facts().id);
--- a/libs/scheduling/src/workersession.cpp
+++ b/libs/scheduling/src/workersession.cpp
@@ -47,12 +47,12 @@
         m_confirmed = false;
         requestListing(now);
     }
-    const bool isPresentLife = m_startTimeMs == 0 || facts.startTimeMs == m_startTimeMs;
-    m_endExpected = m_endExpected || (isPresentLife && facts.state == WorkerState::Draining);
+    const bool isPresentIncarnation = m_startTimeMs == 0 || facts.startTimeMs == m_startTimeMs;
+    m_endExpected = m_endExpected || (isPresentIncarnation && facts.state == WorkerState::Draining);
     m_facts = facts;
 }
 
-void WorkerSession::assumeLife(std::int64_t startTimeMs)
+void WorkerSession::assumeIncarnation(std::int64_t startTimeMs)
 {
     m_startTimeMs = std::max(m_startTimeMs, startTimeMs);
 }
@@ -265,7 +265,7 @@
     return m_startTimeMs;
 }
 
-bool WorkerSession::isLaterLife(const Listing &listing) const
+bool WorkerSession::isLaterIncarnation(const Listing &listing) const
 {
     return m_startTimeMs != 0 && listing.startTimeMs != m_startTimeMs;
 }
--- a/libs/scheduling/tests/crashtest.cpp
+++ b/libs/scheduling/tests/crashtest.cpp
@@ -81,7 +81,7 @@
 
 }
 
-BOOST_AUTO_TEST_CASE(aCrashBesideOtherJobsConvictsNoTask)
+BOOST_AUTO_TEST_CASE(aCrashBesideOtherJobsProvesNothing)
 {
     const std::map<TaskName, LiveRun> runs{{{"a", {0, 0, 0}}, makeSuspect(10ms)}, {{"b", {0, 0, 0}}, makeSuspect(20ms)}, {{"c", {0, 0, 0}}, makeRun(2s)}};
     const std::map<TaskName, CrashEvidence> evidence = attributeCrash(runs, CrashedAt, true);
@@ -274,6 +274,8 @@
     BOOST_REQUIRE(fleet.scheduler.findJob("job")->crashes.size() == 1U);
     BOOST_TEST(fleet.scheduler.findJob("job")->crashes.front().unconfirmed == 0U);
     BOOST_TEST(fleet.scheduler.findJob("job")->crashes.front().duringStartup == 1U);
+    // The worker is counted once, although its loss was counted before its crash was known.
+    BOOST_TEST(fleet.scheduler.findJob("job")->crashes.front().workers.size() == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(longRunningTasksThatCrashWorkersAreGivenUp)
