--- a/libs/jobs/include/jobs/job.h
+++ b/libs/jobs/include/jobs/job.h
@@ -238,7 +238,7 @@
     TaskFinished,
     /** The task waits for its next run; it gets one if its job is open. */
     TaskWaiting,
-    /** The task or its gang has used up its attempts, so the job failed. */
+    /** The job failed, because the task or its gang has used up its attempts or crashes its workers. */
     JobFailed,
 };
 
--- a/libs/scheduling/include/scheduling/crashattribution.h
+++ b/libs/scheduling/include/scheduling/crashattribution.h
@@ -30,7 +30,7 @@
  * Judges what the crash of a worker says of each of its runs. @p runs are all runs on the worker, and @p crashedAt is
  * when it fell silent. Runs that are not known to have been started are left out, unless a former owner placed them.
  *
- * With several suspects on one worker the crash isProof none of them, since any of them may have caused it. A suspect is
+ * With several suspects on one worker the crash proves nothing about any of them, since each may have caused it. A suspect is
  * therefore run apart from other jobs, see JobIsolation. The crash of its worker counts as isolated if all that runs beside it is
  * proven or, right after its start, has been running for StartupPeriod.
  */
--- a/libs/scheduling/src/crashattribution.cpp
+++ b/libs/scheduling/src/crashattribution.cpp
@@ -52,9 +52,9 @@
         if (!run.restored && run.start != StartProgress::Accepted) {
             continue;
         }
-        // A run that is being stopped may have ended before the crash.
         const CrashMoment moment = momentOf(run, crashedAt);
         const bool alone = isIsolatedFor(task.job, sent, crashedAt) || (moment == CrashMoment::Startup && isAloneInStartup(task.job, sent, crashedAt));
+        // A run that is being stopped may have ended before the crash.
         const bool isolated = run.suspect && run.stop == StopProgress::NotWanted && !isProven(run, crashedAt) && alone;
         evidence[task] = {moment, isolated, quietFleet};
     }
--- a/libs/scheduling/src/details/schedulerimpl.h
+++ b/libs/scheduling/src/details/schedulerimpl.h
@@ -39,7 +39,10 @@
     JobEstimate estimate;
     /** Workers on which each task failed. */
     std::map<TaskRef, std::set<WorkerId>> failedOn;
-    /** A suspect of the job that waits for a worker of its own is placed beside others from then on; nothing while none waits. */
+    /**
+     * A suspect of the job that waits for a worker of its own may run beside others from then on. Set when one begins to wait, and
+     * cleared only when one gets a worker of its own.
+     */
     std::optional<BootTime> isolationDeadline;
 };
 
--- a/libs/scheduling/tests/fleetsimulation.cpp
+++ b/libs/scheduling/tests/fleetsimulation.cpp
@@ -309,9 +309,10 @@
                 // Crashes during the partition and restarts.
                 crash(worker->second);
             }
-            after(between(1000, 15000), [this, &partitioned = worker->second] {
+            after(between(1000, 15000), [this, &partitioned = worker->second, since = m_now] {
                 partitioned.partitioned = false;
-                partitioned.capacityChangedAt = m_now;
+                // The worker could not report a change of its capacity before.
+                partitioned.capacityChangedAt = partitioned.capacityChangedAt >= since ? m_now : partitioned.capacityChangedAt;
             });
         });
     }
