--- a/libs/jobnode/src/fleetcontroller.cpp
+++ b/libs/jobnode/src/fleetcontroller.cpp
@@ -384,7 +384,7 @@
         // Cordons the workers before the orders are sent, so that nothing is placed on them in between.
         m_scheduler.setCordoned(m_cordoned);
         for (const InstanceId &instance : decision.evacuate) {
-            m_scheduler.evacuate(views.at(instance).facts.worker);
+            m_scheduler.evacuate(views.at(instance).facts.worker, now);
         }
         for (const MaintainInstance &order : decision.maintain) {
             if (hasOrderAllowance()) {
--- a/libs/scheduling/include/scheduling/scheduler.h
+++ b/libs/scheduling/include/scheduling/scheduler.h
@@ -243,7 +243,7 @@
     /** The worker's instance has another worker or none since then, so the worker and its runs have ended. */
     void noteWorkerReplaced(const WorkerId &worker, BootTime now, std::int64_t wallMs);
     /** Stops long-running tasks on a worker that is to be taken away, as far as the disruption budgets of their steps allow. */
-    void evacuate(const WorkerId &worker);
+    void evacuate(const WorkerId &worker, BootTime now);
 
     /** Nothing is placed until the view of setEvacuation() is usable for an owner since @p ownerSince; see ZoneEvacuation::isUsable(). */
     void awaitEvacuationView(BootTime ownerSince);
--- a/libs/scheduling/src/details/schedulerimpl.h
+++ b/libs/scheduling/src/details/schedulerimpl.h
@@ -102,6 +102,20 @@
     bool started = false;
 };
 
+/** The tasks of a long-running step apart from one that may be stopped. */
+struct StepAvailability {
+    std::uint32_t unavailable = 0;
+    /** Limit of the step for tasks that are unavailable at once. */
+    std::uint32_t maxUnavailable = 0;
+    /** Of the lists of runs that show the others to be available, when the oldest arrived; BootTime::max() if there is none. */
+    BootTime oldestListingAt = BootTime::max();
+
+    bool allowsDisruption() const
+    {
+        return unavailable < maxUnavailable;
+    }
+};
+
 /** What a run that ends has used. */
 struct RunUse {
     bool copy = false;
@@ -330,7 +344,12 @@
     // Loss of runs.
     void markAllRunsLost(WorkerSession &session, std::int64_t wallMs, std::string_view reason);
     void requestStop(WorkerSession &session, const TaskName &task, std::string_view reason);
+    /** std::nullopt if the step of @p task is not long-running or its job is closed, so that no disruption budget applies. */
+    std::optional<StepAvailability> availabilityBeside(const TaskName &task);
+    /** Whether @p task may be made unavailable without exceeding the limit of its step for tasks that are unavailable at once. */
     bool isWithinDisruptionBudget(const TaskName &task);
+    /** Requests the stop of a long-running task that is to continue elsewhere; the event tells the state of the other tasks of its step. */
+    void requestDisruption(WorkerSession &session, const TaskName &task, std::string_view reason, BootTime now);
 
     // Copies.
     /** Adds a run that a former owner placed. @p extra tells that it is beside the task's current run or that the task is finished. */
--- a/libs/scheduling/src/scheduler.cpp
+++ b/libs/scheduling/src/scheduler.cpp
@@ -205,19 +205,6 @@
     }
 }
 
-void Scheduler::evacuate(const WorkerId &worker)
-{
-    const auto found = m_impl->workers.find(worker);
-    if (found == m_impl->workers.end()) {
-        return;
-    }
-    for (auto &[task, run] : found->second.runs()) {
-        if (run.longRunning && run.start == StartProgress::Accepted && run.stop == StopProgress::NotWanted && m_impl->isWithinDisruptionBudget(task)) {
-            m_impl->requestStop(found->second, task, "evacuation");
-        }
-    }
-}
-
 SubmitOutcome Scheduler::submit(JobRecord record, BootTime now, std::int64_t wallMs)
 {
     Impl &impl = *m_impl;
--- a/libs/scheduling/src/schedulerevacuation.cpp
+++ b/libs/scheduling/src/schedulerevacuation.cpp
@@ -149,7 +149,7 @@
     target->reserved = session.runs().at(task).demand;
     target->reservedFor = task.job;
     evacuationMoves.begin(task, target->session->facts().id, target->reserved, now);
-    requestStop(session, task, "zone evacuated");
+    requestDisruption(session, task, "zone evacuated", now);
 }
 
 void Scheduler::Impl::moveFromEvacuatedZones(BootTime now)
--- a/libs/scheduling/src/schedulerresults.cpp
+++ b/libs/scheduling/src/schedulerresults.cpp
@@ -136,46 +136,6 @@
     }
 }
 
-void Scheduler::Impl::requestStop(WorkerSession &session, const TaskName &task, std::string_view reason)
-{
-    const auto found = session.runs().find(task);
-    if (found == session.runs().end() || found->second.stop != StopProgress::NotWanted) {
-        return;
-    }
-    found->second.stop = StopProgress::Due;
-    emitEvent("stop-wanted", task, found->second.run, session.facts().id, std::string(reason));
-}
-
-// Whether @p task may be made unavailable without exceeding the limit of its step for long-running tasks that are
-// unavailable at once.
-bool Scheduler::Impl::isWithinDisruptionBudget(const TaskName &task)
-{
-    JobEntry *entry = findEntry(task.job);
-    if (entry == nullptr || !entry->job.isOpen()) {
-        return true;
-    }
-    const StepSpec &step = entry->job.step(task.ref);
-    if (!step.longRunning) {
-        return true;
-    }
-    const Occurrence *occurrence = entry->job.findOccurrence(task.ref.occurrence);
-    std::uint32_t unavailable = 0;
-    for (std::uint32_t index = 0; occurrence != nullptr && index < occurrence->steps[task.ref.step].size(); ++index) {
-        if (index == task.ref.index) {
-            continue;
-        }
-        const Task &other = occurrence->steps[task.ref.step][index];
-        const auto worker = workers.find(other.worker);
-        bool ready = false;
-        if (other.phase == TaskPhase::Placed && worker != workers.end() && worker->second.isReachable()) {
-            const auto run = worker->second.runs().find({task.job, {task.ref.occurrence, task.ref.step, index}});
-            ready = run != worker->second.runs().end() && run->second.percent == ReadyPercent && run->second.stop == StopProgress::NotWanted;
-        }
-        unavailable += ready ? 0 : 1;
-    }
-    return unavailable < step.maxUnavailableTasks;
-}
-
 void Scheduler::handleLeaseRenewalResult(const RenewLeaseOrder &order, BootTime sentAt, const RenewLeaseResult &result, BootTime now, std::int64_t wallMs)
 {
     Impl &impl = *m_impl;
@@ -450,22 +410,6 @@
     }
 }
 
-void Scheduler::handleStopResult(const StopOrder &order, const OrderResult &result, BootTime now)
-{
-    Impl &impl = *m_impl;
-    const auto found = impl.workers.find(order.worker);
-    if (found == impl.workers.end()) {
-        return;
-    }
-    const auto live = found->second.runs().find(order.task);
-    if (live == found->second.runs().end() || live->second.run != order.run) {
-        return;
-    }
-    live->second.stop = std::holds_alternative<OrderAccepted>(result) ? StopProgress::Accepted : StopProgress::Due;
-    live->second.stopSentAt = now;
-    found->second.requestListing(now);
-}
-
 void Scheduler::handleThrottleResult(const ThrottleOrder &order, const OrderResult &result)
 {
     const auto found = m_impl->workers.find(order.worker);
--- a/libs/scheduling/src/schedulertime.cpp
+++ b/libs/scheduling/src/schedulertime.cpp
@@ -292,6 +292,9 @@
             run.stop = StopProgress::InFlight;
             run.stopSentAt = now;
             orders.emplace_back(StopOrder{id, task, run.run, session.token()});
+            if (run.longRunning) {
+                emitEvent("stop-sent", task, run.run, id, "token " + std::to_string(session.token()));
+            }
         }
     }
 }
