--- a/libs/scheduling/tests/scriptedfleet.cpp
+++ b/libs/scheduling/tests/scriptedfleet.cpp
@@ -14,8 +14,9 @@
 }
 
 ScriptedFleet::ScriptedFleet(const std::vector<WorkerId> &workers, Resources capacity, SchedulerOptions options, const ScriptedFleet *predecessor)
-    : scheduler(SchedulerTimes{}, predecessor == nullptr ? 1 : 2, options)
+    : scheduler(SchedulerTimes{}, predecessor == nullptr ? 1 : predecessor->m_epoch + 1, options)
     , m_capacity(capacity)
+    , m_epoch(predecessor == nullptr ? 1 : predecessor->m_epoch + 1)
 {
     if (predecessor != nullptr) {
         now = predecessor->now;
@@ -24,6 +25,7 @@
         stored = predecessor->stored;
         m_ended = predecessor->m_ended;
         m_silent = predecessor->m_silent;
+        m_stopping = predecessor->m_stopping;
         scheduler.setPredecessor({6370ms, {}});
         for (const auto &[job, bytes] : stored) {
             scheduler.restore(*decodeJob(bytes), now, 1);
@@ -69,6 +71,7 @@
                 m_scheduled.emplace_back(at, action);
             }
         }
+        endStoppedRuns();
         scheduler.advance(now, 1);
         const RecordBatch batch = scheduler.takeBatch();
         for (const auto &[job, bytes] : batch.records) {
@@ -134,6 +137,30 @@
     scheduler.handleStartResult(order, result, now, 1);
 }
 
+void ScriptedFleet::executeStop(const StopOrder &order)
+{
+    stops.push_back(order);
+    if (onStop) {
+        onStop(order);
+    }
+    m_stopping.push_back({order.worker, order.task, order.run, now + stopDelay});
+    scheduler.handleStopResult(order, OrderAccepted{ClockMs}, now);
+}
+
+void ScriptedFleet::endStoppedRuns()
+{
+    for (const StoppingRun &stopping : std::exchange(m_stopping, {})) {
+        if (now < stopping.endsAt) {
+            m_stopping.push_back(stopping);
+            continue;
+        }
+        const auto run = running[stopping.worker].find(stopping.task);
+        if (run != running[stopping.worker].end() && run->second == stopping.run) {
+            end(stopping.worker, stopping.task, RunEnd::Stopped);
+        }
+    }
+}
+
 void ScriptedFleet::executeRenewal(const RenewLeaseOrder &order)
 {
     RenewLeaseResult result = makeListing(order);
@@ -152,13 +179,7 @@
     if (const StartOrder *start = std::get_if<StartOrder>(&order)) {
         executeStart(*start);
     } else if (const StopOrder *stop = std::get_if<StopOrder>(&order)) {
-        stops.push_back(*stop);
-        m_scheduled.emplace_back(now + stopDelay, [this, stop = *stop] {
-            if (running[stop.worker].count(stop.task) != 0) {
-                end(stop.worker, stop.task, RunEnd::Stopped);
-            }
-        });
-        scheduler.handleStopResult(*stop, OrderAccepted{ClockMs}, now);
+        executeStop(*stop);
     } else if (const ThrottleOrder *throttle = std::get_if<ThrottleOrder>(&order)) {
         throttles.push_back(*throttle);
         scheduler.handleThrottleResult(*throttle, OrderAccepted{ClockMs});
--- a/libs/scheduling/tests/scriptedfleet.h
+++ b/libs/scheduling/tests/scriptedfleet.h
@@ -57,6 +57,8 @@
     std::function<std::pair<int, std::int64_t>(const TaskName &task)> onListed;
     /** Called after the batch is stored and before orders are taken. */
     std::function<void()> beforeOrders;
+    /** Called with each stop order before the worker executes it. */
+    std::function<void(const StopOrder &order)> onStop;
     /** Tasks that crash each worker 10 ms after it has started them. */
     std::set<TaskName> crashingTasks;
     std::size_t crashes = 0;
@@ -72,10 +74,23 @@
     Listing makeListing(const RenewLeaseOrder &order);
 
     void executeStart(const StartOrder &order);
+    void executeStop(const StopOrder &order);
+    /** Ends the runs whose stop has taken stopDelay. */
+    void endStoppedRuns();
     void executeRenewal(const RenewLeaseOrder &order);
 
+    /** A run that a worker was told to stop. */
+    struct StoppingRun {
+        WorkerId worker;
+        TaskName task;
+        std::uint32_t run = 0;
+        BootTime endsAt{};
+    };
+
     const Resources m_capacity;
+    const std::uint64_t m_epoch;
     std::vector<std::pair<BootTime, std::function<void()>>> m_scheduled;
+    std::vector<StoppingRun> m_stopping;
     std::set<WorkerId> m_silent;
     std::set<WorkerId> m_replaced;
     std::map<WorkerId, std::vector<ListedEnd>> m_ended;
