Store which long-running tasks are to be stopped before they are stopped

The successor knew the run from the job's record and the list, and neither says that the run is being stopped, so it counted the task as available and stopped another one.

Change: the owner stores the record runs/disrupted with the task and the number of the run, and sends the stop once that is stored. A successor counts a named run as unavailable and continues its stop. Right before a stop is sent, the budget is checked again, as other tasks may have become unavailable while it waited.

--- a/libs/jobnode/src/jobowner.cpp
+++ b/libs/jobnode/src/jobowner.cpp
@@ -1,4 +1,5 @@
 #include "details/jobownerimpl.h"
+#include "jobs/disruptedruns.h"
 #include "jobs/jobcodec.h"
 #include "records/packing.h"
 #include "telemetry/log.h"
@@ -82,6 +83,9 @@
         fleetController->restoreOrders(bytes);
         return;
     }
+    if (key == DisruptedRunsKey && scheduler.restoreDisruptions(bytes)) {
+        return;
+    }
     if (key == DemandHistoryKey) {
         demandHistory.restore(bytes, now, wallMs);
         return;
--- a/libs/scheduling/include/scheduling/scheduler.h
+++ b/libs/scheduling/include/scheduling/scheduler.h
@@ -133,11 +133,11 @@
     Leases,
 };
 
-/** Changed job records to store together. */
+/** Changed records to store together. */
 struct RecordBatch {
     /** Increases from batch to batch. */
     std::uint64_t number = 0;
-    /** Encoded records by job. */
+    /** Encoded records by job; also the one with the key DisruptedRunsKey, if it has changed. */
     std::vector<std::pair<JobId, std::string>> records;
     /** Jobs whose records are to be deleted. */
     std::vector<JobId> dropped;
@@ -215,6 +215,11 @@
     // Commands at the start, in this order and before any other: the predecessor's leases, then its job records.
     void setPredecessor(PredecessorLeases leases);
     void restore(JobRecord record, BootTime now, std::int64_t wallMs);
+    /**
+     * Uses the record with the key DisruptedRunsKey: a run that a former owner decided to stop is not available any more, and its stop is
+     * continued. Must be called before advance(), before or after restore(). Returns false if @p bytes are malformed.
+     */
+    bool restoreDisruptions(std::string_view bytes);
     /** Takes over the predecessor's runTimeSnapshot(), before or after its job records. Returns false, without a change, if it is unreadable. */
     bool restoreRunTimes(std::string_view snapshot, BootTime now);
     /** As above, for the predecessor's demandSnapshot(). */
--- a/libs/scheduling/src/details/schedulerimpl.h
+++ b/libs/scheduling/src/details/schedulerimpl.h
@@ -7,6 +7,7 @@
 #include "evacuation/evacuationmoves.h"
 #include "evacuation/zoneevacuation.h"
 #include "jobadmission/admissiondecision.h"
+#include "jobs/disruptedruns.h"
 #include "scheduling/crashattribution.h"
 #include "scheduling/jobisolation.h"
 #include "scheduling/joborder.h"
@@ -247,6 +248,9 @@
     std::uint64_t storedBatch = 0;
     std::vector<JobId> dirtyJobs;
     std::vector<JobId> droppedJobs;
+    DisruptedRuns disruptedRuns;
+    /** The next batch has the record of disruptedRuns. */
+    bool disruptionsChanged = false;
     /** Job states and placements in the batches that are not stored, by batch. */
     std::map<std::uint64_t, std::vector<std::pair<JobId, JobState>>> batchStates;
     std::map<std::uint64_t, std::vector<std::pair<WorkerId, TaskName>>> batchStarts;
@@ -348,9 +352,19 @@
     std::optional<StepAvailability> availabilityBeside(const TaskName &task);
     /** Whether @p task may be made unavailable without exceeding the limit of its step for tasks that are unavailable at once. */
     bool isWithinDisruptionBudget(const TaskName &task);
-    /** Requests the stop of a long-running task that is to continue elsewhere; the event tells the state of the other tasks of its step. */
+    /**
+     * Requests the stop of a long-running task that is to continue elsewhere. The stop is sent once a record names it, for a successor.
+     * The event tells the state of the other tasks of the step.
+     */
     void requestDisruption(WorkerSession &session, const TaskName &task, std::string_view reason, BootTime now);
 
+    /** A former owner decided to stop the run. */
+    bool isDisrupted(const TaskName &task, std::uint32_t run) const;
+    /** Adds the record of disrupted runs to the batch if it has to be stored. */
+    void addDisruptions(RecordBatch &batch);
+    /** Whether the stop may not be sent at present because of the disruption budget: other tasks may have become unavailable meanwhile. */
+    bool mustHoldStop(const WorkerSession &session, const TaskName &task, const LiveRun &run);
+
     // Copies.
     /** Adds a run that a former owner placed. @p extra tells that it is beside the task's current run or that the task is finished. */
     void restoreRun(const JobEntry &entry, const TaskRef &ref, const ExtraRun &placed, bool extra, BootTime now);
--- a/libs/scheduling/src/scheduler.cpp
+++ b/libs/scheduling/src/scheduler.cpp
@@ -36,7 +36,7 @@
 
 std::uint64_t Scheduler::Impl::durableBatch() const
 {
-    return dirtyJobs.empty() ? nextBatch - 1 : nextBatch;
+    return dirtyJobs.empty() && !disruptionsChanged ? nextBatch - 1 : nextBatch;
 }
 
 JobEntry *Scheduler::Impl::findEntry(const JobId &job)
@@ -279,6 +279,7 @@
         impl.batchStates[batch.number].emplace_back(id, entry->job.record().state);
     }
     impl.dirtyJobs.clear();
+    impl.addDisruptions(batch);
     batch.dropped = std::move(impl.droppedJobs);
     impl.droppedJobs.clear();
     if (!batch.isEmpty()) {
@@ -289,6 +290,7 @@
 
 void Scheduler::markAllChanged()
 {
+    m_impl->disruptionsChanged = m_impl->disruptionsChanged || !m_impl->disruptedRuns.empty();
     for (auto &[id, entry] : m_impl->jobs) {
         if (!entry.dirty) {
             entry.dirty = true;
@@ -354,7 +356,7 @@
 
 bool Scheduler::hasUnstored() const
 {
-    return !m_impl->dirtyJobs.empty() || !m_impl->droppedJobs.empty();
+    return !m_impl->dirtyJobs.empty() || !m_impl->droppedJobs.empty() || m_impl->disruptionsChanged;
 }
 
 std::optional<JobState> Scheduler::stateOf(const JobId &job) const
--- a/libs/scheduling/src/schedulercopies.cpp
+++ b/libs/scheduling/src/schedulercopies.cpp
@@ -44,7 +44,8 @@
     run.suspect = entry.job.isCrashSuspect(ref);
     run.hasCrashes = entry.job.findCrashes(ref) != nullptr;
     run.placedOrAcceptedAt = now;
-    run.stop = entry.job.isOpen() && isPlaced ? StopProgress::NotWanted : StopProgress::Due;
+    const bool isWanted = entry.job.isOpen() && isPlaced && !isDisrupted({entry.job.record().id, ref}, placed.run);
+    run.stop = isWanted ? StopProgress::NotWanted : StopProgress::Due;
     const WorkerIncarnation incarnation = entry.job.record().incarnationOf(placed.worker);
     WorkerFacts facts;
     facts.id = placed.worker;
--- a/libs/scheduling/src/schedulerdisruptions.cpp
+++ b/libs/scheduling/src/schedulerdisruptions.cpp
@@ -1,6 +1,7 @@
 #include "details/schedulerimpl.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Cornelquay {
 
@@ -63,6 +64,10 @@
 
 void Scheduler::Impl::requestDisruption(WorkerSession &session, const TaskName &task, std::string_view reason, BootTime now)
 {
+    const auto found = session.runs().find(task);
+    if (found == session.runs().end() || found->second.stop != StopProgress::NotWanted) {
+        return;
+    }
     std::string detail(reason);
     if (const std::optional<StepAvailability> availability = availabilityBeside(task)) {
         detail += ", " + std::to_string(availability->unavailable) + " others unavailable of " + std::to_string(availability->maxUnavailable) + " allowed";
@@ -71,6 +76,48 @@
         }
     }
     requestStop(session, task, detail);
+    disruptedRuns[task] = found->second.run;
+    disruptionsChanged = true;
+    found->second.stopBatch = durableBatch();
+}
+
+bool Scheduler::Impl::isDisrupted(const TaskName &task, std::uint32_t run) const
+{
+    const auto found = disruptedRuns.find(task);
+    return found != disruptedRuns.end() && found->second == run;
+}
+
+void Scheduler::Impl::addDisruptions(RecordBatch &batch)
+{
+    if (!std::exchange(disruptionsChanged, false)) {
+        return;
+    }
+    std::erase_if(disruptedRuns, [this](const auto &disrupted) {
+        const JobEntry *entry = findEntry(disrupted.first.job);
+        const Task *task = entry == nullptr || !entry->job.isOpen() ? nullptr : entry->job.findTask(disrupted.first.ref);
+        return task == nullptr || task->phase != TaskPhase::Placed || task->run != disrupted.second;
+    });
+    batch.records.emplace_back(DisruptedRunsKey, encode(disruptedRuns));
+}
+
+bool Scheduler::Impl::mustHoldStop(const WorkerSession &session, const TaskName &task, const LiveRun &run)
+{
+    return session.facts().state != WorkerState::Draining && isDisrupted(task, run.run) && !isWithinDisruptionBudget(task);
+}
+
+bool Scheduler::restoreDisruptions(std::string_view bytes)
+{
+    std::optional<DisruptedRuns> runs = decodeDisruptedRuns(bytes);
+    if (!runs) {
+        return false;
+    }
+    m_impl->disruptedRuns = std::move(*runs);
+    for (auto &[id, session] : m_impl->workers) {
+        for (auto &[task, run] : session.runs()) {
+            run.stop = m_impl->isDisrupted(task, run.run) ? StopProgress::Due : run.stop;
+        }
+    }
+    return true;
 }
 
 void Scheduler::evacuate(const WorkerId &worker, BootTime now)
--- a/libs/scheduling/src/schedulertime.cpp
+++ b/libs/scheduling/src/schedulertime.cpp
@@ -153,7 +153,7 @@
                 clearCrashes(task, run);
             }
             if (draining && run.longRunning && run.start == StartProgress::Accepted) {
-                requestStop(session, task, "worker leaves");
+                requestDisruption(session, task, "worker leaves", now);
             }
         }
     }
@@ -289,6 +289,9 @@
             if (entry != nullptr && !entry->job.isOpen() && entry->dirty) {
                 continue;
             }
+            if (mustHoldStop(session, task, run)) {
+                continue;
+            }
             run.stop = StopProgress::InFlight;
             run.stopSentAt = now;
             orders.emplace_back(StopOrder{id, task, run.run, session.token()});
--- a/libs/scheduling/tests/disruptiontest.cpp
+++ b/libs/scheduling/tests/disruptiontest.cpp
@@ -1,3 +1,4 @@
+#include "jobs/disruptedruns.h"
 #include "scriptedfleet.h"
 
 #include <boost/test/unit_test.hpp>
@@ -136,3 +137,67 @@
         BOOST_TEST(fleet.stopsBeyondBudget() == 0U, "trial " << trial << ": " << fleet.stopsBeyondBudget() << " stops exceeded the budget");
     }
 }
+
+// Guards against a stop that no successor knows of, because the record that names it is not stored.
+BOOST_AUTO_TEST_CASE(stopsOfLongRunningTasksAreSentOnceTheyAreStored)
+{
+    ServingFleet fleet(1);
+    fleet.owner().isStoreAvailable = false;
+    fleet.evacuateAll(Workers, 500ms);
+    BOOST_TEST(fleet.owner().stops.empty());
+    fleet.owner().isStoreAvailable = true;
+    fleet.owner().scheduler.markAllChanged();
+    fleet.run(50ms);
+    BOOST_TEST(fleet.owner().stops.size() == 1U);
+}
+
+// Guards against a decision that is forgotten when its owner ends between storing and sending it, so that the task counts as unavailable for good.
+BOOST_AUTO_TEST_CASE(aSuccessorSendsTheStopThatItsPredecessorOnlyStored)
+{
+    ServingFleet fleet(1);
+    fleet.owner().isStoreAvailable = false;
+    fleet.evacuateAll(Workers, 50ms);
+    BOOST_REQUIRE(fleet.owner().stored.count(DisruptedRunsKey) == 1U);
+    fleet.changeOwner();
+    fleet.run(500ms);
+    BOOST_TEST(fleet.owner().stops.size() == 1U);
+    fleet.run(3s);
+    BOOST_TEST(fleet.unavailable() == 0U);
+    fleet.evacuateAll(Workers, 100ms);
+    BOOST_TEST(fleet.owner().stops.size() == 2U);
+}
+
+// Guards against a stop that was within the budget when it was decided, and not any more when it is sent.
+BOOST_AUTO_TEST_CASE(aStopWaitsWhileOtherTasksAreUnavailable)
+{
+    ServingFleet fleet(1);
+    fleet.owner().isStoreAvailable = false;
+    fleet.evacuateAll(Workers, 50ms);
+    fleet.changeOwner();
+    const DisruptedRuns disrupted = *decodeDisruptedRuns(fleet.owner().stored.at(DisruptedRunsKey));
+    BOOST_REQUIRE(disrupted.size() == 1U);
+    const auto &running = fleet.owner().running;
+    const auto other = std::find_if(running.begin(), running.end(), [&](const auto &worker) {
+        return !worker.second.empty() && worker.second.begin()->first != disrupted.begin()->first;
+    });
+    fleet.owner().end(other->first, other->second.begin()->first, RunEnd::Failed);
+    fleet.run(StartupPeriod - 50ms);
+    BOOST_TEST(fleet.owner().stops.empty());
+    fleet.run(500ms);
+    BOOST_TEST(fleet.owner().stops.size() == 1U);
+    BOOST_TEST(fleet.stopsBeyondBudget() == 0U);
+}
+
+// Guards against a successor that cannot take over because a record is damaged.
+BOOST_AUTO_TEST_CASE(aDamagedRecordOfDisruptedRunsIsIgnored)
+{
+    const DisruptedRuns runs = {{{"job", {0, 1, 2}}, 3}, {{"other", {4, 0, 0}}, 1}};
+    const std::string bytes = encode(runs);
+    BOOST_TEST((decodeDisruptedRuns(bytes) == runs));
+    ServingFleet fleet(1);
+    for (std::size_t length = 0; length < bytes.size(); ++length) {
+        BOOST_TEST(!fleet.owner().scheduler.restoreDisruptions(std::string_view(bytes).substr(0, length)));
+    }
+    fleet.evacuateAll(Workers, 100ms);
+    BOOST_TEST(fleet.owner().stops.size() == 1U);
+}
--- a/libs/scheduling/tests/scriptedfleet.cpp
+++ b/libs/scheduling/tests/scriptedfleet.cpp
@@ -1,5 +1,7 @@
 #include "scriptedfleet.h"
 
+#include "jobs/disruptedruns.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -27,8 +29,12 @@
         m_silent = predecessor->m_silent;
         m_stopping = predecessor->m_stopping;
         scheduler.setPredecessor({6370ms, {}});
-        for (const auto &[job, bytes] : stored) {
-            scheduler.restore(*decodeJob(bytes), now, 1);
+        for (const auto &[key, bytes] : stored) {
+            if (key == DisruptedRunsKey) {
+                scheduler.restoreDisruptions(bytes);
+            } else {
+                scheduler.restore(*decodeJob(bytes), now, 1);
+            }
         }
     }
     policy->queues["queue"].terms = {"pool", 0, 3, 2.0, 1000};
@@ -74,8 +80,8 @@
         endStoppedRuns();
         scheduler.advance(now, 1);
         const RecordBatch batch = scheduler.takeBatch();
-        for (const auto &[job, bytes] : batch.records) {
-            stored[job] = bytes;
+        for (const auto &[key, bytes] : batch.records) {
+            stored[key] = bytes;
         }
         if (!batch.isEmpty() && isStoreAvailable) {
             scheduler.handleBatchStored(batch.number, now);
--- a/libs/scheduling/tests/scriptedfleet.h
+++ b/libs/scheduling/tests/scriptedfleet.h
@@ -64,8 +64,8 @@
     std::size_t crashes = 0;
     /** While false, batches stay unconfirmed. */
     bool isStoreAvailable = true;
-    /** Encoded records of jobs. */
-    std::map<JobId, std::string> stored;
+    /** Encoded records by their keys. */
+    std::map<std::string, std::string> stored;
     /** Time that a worker takes to stop a run. */
     std::chrono::milliseconds stopDelay{0};
 
