Let a wave finish the instances that it or a former owner has begun to empty

Cause: a decision lifted the cordon of an instance that it was emptying whenever others of the wave had become empty meanwhile and took up the concurrency, and a new owner did not know which instances its predecessor was emptying.

Change: instances that are being emptied stay cordoned until they are empty, and those with a run that is being stopped count as such. aWaveKeepsTheInstancesThatItHasBegunToEmpty fails without the first part.

--- a/libs/jobnode/src/fleetcontroller.cpp
+++ b/libs/jobnode/src/fleetcontroller.cpp
@@ -353,6 +353,7 @@
                 if (run.longRunning) {
                     ++view.longRunningRuns;
                     view.longRunningDemand += run.demand;
+                    view.isBeingEmptied = view.isBeingEmptied || run.stop != StopProgress::NotWanted;
                 } else {
                     view.emptyAfter = std::max(view.emptyAfter, m_scheduler.remainingTime(run, now));
                 }
--- a/libs/scheduling/include/scheduling/instances.h
+++ b/libs/scheduling/include/scheduling/instances.h
@@ -49,6 +49,8 @@
     std::size_t longRunningRuns = 0;
     /** Resources in use by the runs of long-running tasks. */
     Resources longRunningDemand;
+    /** A run of a long-running task is being stopped, by this owner or a former one, because the instance is to be taken out of service. */
+    bool isBeingEmptied = false;
     /** Time until the last run that is not long-running ends, extrapolated from the progress of these runs. */
     std::chrono::milliseconds emptyAfter{0};
     /** An order for the instance is in flight, or took effect too recently to be visible in the control plane's list. */
--- a/libs/scheduling/include/scheduling/waveplan.h
+++ b/libs/scheduling/include/scheduling/waveplan.h
@@ -38,7 +38,7 @@
 /**
  * Plans one wave of maintenance.
  *
- * Instances that are already being emptied come first, then empty instances, then instances with
+ * Instances that are already being emptied, also by a former owner, come first, then empty instances, then instances with
  * long-running tasks. As many instances are emptied at a time as the remaining time requires. The plan orders
  * no maintenance that would take more instances of the wave out of service than its limit. Because a wave can
  * coincide with surges of different queues, instances that are otherwise equal come later if their pool has
@@ -65,6 +65,8 @@
 
 private:
     bool isOutOfService(const InstanceId &instance, const InstanceView &view, BootTime now) const;
+    /** This owner or a former one has begun to empty the instance. */
+    bool isEmptying(const InstanceView &view) const;
     std::size_t targetConcurrency(const std::vector<const InstanceView *> &pending, BootTime now) const;
 
     WaveSpec m_spec;
--- a/libs/scheduling/src/waveplan.cpp
+++ b/libs/scheduling/src/waveplan.cpp
@@ -74,6 +74,11 @@
     return justDone || view.facts.state == InstancePhase::Maintenance || view.hasPendingOrder;
 }
 
+bool WavePlan::isEmptying(const InstanceView &view) const
+{
+    return view.isBeingEmptied || m_emptying.count(view.facts.id) != 0;
+}
+
 std::size_t WavePlan::targetConcurrency(const std::vector<const InstanceView *> &pending, BootTime now) const
 {
     const auto reserved = std::chrono::duration_cast<std::chrono::milliseconds>(m_spec.duration * ReservedFraction);
@@ -120,7 +125,7 @@
             const bool busyPool = waiting != backlog.end() && waiting->second.cpu > 0;
             // Of the instances with runs, those with long-running tasks come first: their tasks move one after another,
             // which takes longest.
-            return std::tuple(m_emptying.count(view->facts.id) == 0, view->runs != 0, view->longRunningRuns == 0, busyPool, view->runs, view->facts.id);
+            return std::tuple(!isEmptying(*view), view->runs != 0, view->longRunningRuns == 0, busyPool, view->runs, view->facts.id);
         };
         return key(a) < key(b);
     });
@@ -141,7 +146,8 @@
         }
         std::size_t &emptyingInPool = emptyingByPool[view->facts.pool];
         const std::size_t maxEmptyingInPool = std::max<std::size_t>(1, poolSizes[view->facts.pool] / EmptyingPoolDivisor);
-        if (emptying.size() + out < targetCount && emptyingInPool < maxEmptyingInPool) {
+        // An instance that is given up halfway gets its tasks back, which are then stopped once more.
+        if (isEmptying(*view) || (emptying.size() + out < targetCount && emptyingInPool < maxEmptyingInPool)) {
             ++emptyingInPool;
             emptying.insert(id);
             decision.cordon.push_back(id);
--- a/libs/scheduling/tests/plantest.cpp
+++ b/libs/scheduling/tests/plantest.cpp
@@ -332,6 +332,52 @@
     }
 }
 
+// Guards against instances that are given up halfway, because others of the wave have become empty meanwhile.
+BOOST_AUTO_TEST_CASE(aWaveKeepsTheInstancesThatItHasBegunToEmpty)
+{
+    auto instances = makeInstances({{"pool", 12}});
+    WaveSpec spec{1, {}, 12s, 4};
+    for (auto &[id, view] : instances) {
+        spec.instances.push_back(id);
+        view.runs = 2;
+        view.longRunningRuns = 2;
+    }
+    WavePlan plan(spec, WaveTimes{}, Start);
+    const std::vector<InstanceId> begun = plan.decide(instances, {}, Start).cordon;
+    BOOST_REQUIRE(begun.size() > 1U);
+    for (auto &[id, view] : instances) {
+        if (std::find(begun.begin(), begun.end(), id) == begun.end()) {
+            view.runs = 0;
+            view.longRunningRuns = 0;
+        }
+    }
+    for (const MaintainInstance &order : plan.decide(instances, {}, Start + 100ms).maintain) {
+        plan.noteDone(order.instance, Start + 100ms);
+    }
+    const std::vector<InstanceId> cordoned = plan.decide(instances, {}, Start + 200ms).cordon;
+    for (const InstanceId &id : begun) {
+        BOOST_TEST(std::count(cordoned.begin(), cordoned.end(), id) == 1, id);
+    }
+}
+
+// Guards against an owner that leaves the instance which its predecessor was emptying, so that a stopped task is placed there again.
+BOOST_AUTO_TEST_CASE(aWaveContinuesWithTheInstanceThatAFormerOwnerWasEmptying)
+{
+    auto instances = makeInstances({{"pool", 6}});
+    WaveSpec spec{1, {}, 30s, 1};
+    for (auto &[id, view] : instances) {
+        spec.instances.push_back(id);
+        view.runs = 2;
+        view.longRunningRuns = 2;
+    }
+    instances.at("pool4").isBeingEmptied = true;
+    WavePlan plan(spec, WaveTimes{}, Start);
+    const WaveDecision decision = plan.decide(instances, {}, Start);
+    BOOST_REQUIRE(decision.evacuate.size() == 1U);
+    BOOST_TEST(decision.evacuate.front() == "pool4");
+    BOOST_TEST(decision.cordon.front() == "pool4");
+}
+
 BOOST_AUTO_TEST_CASE(aWaveCompletesWithoutInstancesThatNoLongerExist)
 {
     const WaveSpec spec{7, {"pool0", "gone"}, 12000ms, 1};
