Place nothing after a takeover where the predecessor was emptying or may have ordered

For its first decisions, a new owner had no cordons: a stopped task went back to the worker that the predecessor was emptying, and a run could start on a worker whose instance the predecessor had just ordered, so that it ended with the worker.

Change: the workers of the runs in the record runs/disrupted are cordoned until the first decision about the instances, and those of instances that an order of the predecessor may still reach until it cannot arrive any more. The second set comes from what owners announce anyway. workersThatThePredecessorWasEmptyingAreCordoned and nothingIsPlacedWhereAnOrderOfThePredecessorMayArrive fail without it.

--- a/libs/jobnode/include/jobnode/fleetcontroller.h
+++ b/libs/jobnode/include/jobnode/fleetcontroller.h
@@ -161,6 +161,7 @@
     BootTime m_decidedAt{};
     bool m_listInFlight = false;
     bool m_hasReportedPredecessor = false;
+    bool m_hasDecided = false;
     bool m_ended = false;
 };
 
--- a/libs/jobnode/include/jobnode/predecessororders.h
+++ b/libs/jobnode/include/jobnode/predecessororders.h
@@ -77,6 +77,8 @@
     OrderBlock blockOf(const InstanceId &instance, bool isUnheard) const;
     /** From when on no order of the predecessor is under way anymore; long past if none was when this ownership began. */
     BootTime endAt() const;
+    /** Whether an order of an earlier owner for the instance may still take effect and end its worker. */
+    bool mayArrive(const InstanceId &instance, BootTime now) const;
     /** From when on no instance is blocked. */
     BootTime blocksUntil() const;
     /** Instances for which this node gave recent orders in its earlier ownership; they may arrive until endAt(). */
--- a/libs/jobnode/src/fleetcontroller.cpp
+++ b/libs/jobnode/src/fleetcontroller.cpp
@@ -187,6 +187,11 @@
     for (const auto &[instance, ordered] : m_orderedWorkers) {
         m_cordoned.push_back(ordered.worker);
     }
+    for (const auto &[instance, facts] : m_instances) {
+        if (!facts.worker.empty() && m_predecessor.mayArrive(instance, now)) {
+            m_cordoned.push_back(facts.worker);
+        }
+    }
     refillOrderAllowance(now);
     if (m_mayOrder()) {
         decideWaves(views, now);
@@ -197,7 +202,8 @@
             decidePools(views, policy, now);
         }
     }
-    if (previouslyCordoned != m_cordoned) {
+    // The first decision also replaces what the scheduler has cordoned by itself after the takeover.
+    if (previouslyCordoned != m_cordoned || !std::exchange(m_hasDecided, true)) {
         m_scheduler.setCordoned(m_cordoned);
     }
 }
--- a/libs/jobnode/src/predecessororders.cpp
+++ b/libs/jobnode/src/predecessororders.cpp
@@ -96,6 +96,17 @@
     return {mayHaveOwnOrder && !m_handOver.predecessorEnded ? endAt() : BootTime{}, false};
 }
 
+// The times of a release tell for an order without an answer until when it may arrive, so that others are in the past.
+bool PredecessorOrders::mayArrive(const InstanceId &instance, BootTime now) const
+{
+    const auto dated = m_handOver.blockedUntil.find(instance);
+    if (dated != m_handOver.blockedUntil.end() && now < dated->second - m_handOverDelay) {
+        return true;
+    }
+    const bool isNamed = m_named.count(instance) != 0 || m_own.count(instance) != 0;
+    return isNamed && !m_handOver.predecessorEnded && now < endAt();
+}
+
 BootTime PredecessorOrders::blocksUntil() const
 {
     return std::max(undatedUntil(), m_latestDated);
--- a/libs/jobnode/tests/fleetcontrollertest.cpp
+++ b/libs/jobnode/tests/fleetcontrollertest.cpp
@@ -193,6 +193,29 @@
     BOOST_TEST(fleet.starts == 0);
 }
 
+// Guards against a run that ends with its worker, because the order of a predecessor that was cut off takes effect after the takeover.
+BOOST_AUTO_TEST_CASE(nothingIsPlacedWhereAnOrderOfThePredecessorMayArrive)
+{
+    constexpr std::uint64_t PredecessorEpoch = 7;
+    constexpr auto Permission = 600ms;
+    SingleInstanceFixture fleet;
+    const BootTime begin = BootClock::now();
+    fleet.worker = "w1";
+    InstanceHandOver handOver{false, false, {}, Permission};
+    handOver.predecessorEpoch = PredecessorEpoch;
+    fleet.takeOver(handOver);
+    fleet.controller->notePredecessorFenced(begin);
+    fleet.controller->restoreOrders(encode(InstanceOrderRecord{PredecessorEpoch, true, {"m1"}, {}}));
+    fleet.advance(begin);
+    fleet.runJobOn("w1", begin + 10ms);
+    BOOST_TEST(fleet.starts == 0);
+    const BootTime end = begin + Permission + InstanceTimes{}.orderTimeout + 100ms;
+    fleet.advance(end);
+    fleet.work(end + 110ms);
+    fleet.work(end + 220ms);
+    BOOST_TEST(fleet.starts == 1);
+}
+
 // An order of a predecessor, or one whose answer was lost, replaced the worker. Its runs must not wait for the end of a lease of up
 // to 10 s.
 BOOST_AUTO_TEST_CASE(runsOfAReplacedWorkerEndWithTheList)
--- a/libs/scheduling/include/scheduling/scheduler.h
+++ b/libs/scheduling/include/scheduling/scheduler.h
@@ -216,8 +216,9 @@
     void setPredecessor(PredecessorLeases leases);
     void restore(JobRecord record, BootTime now, std::int64_t wallMs);
     /**
-     * Uses the record with the key DisruptedRunsKey: a run that a former owner decided to stop is not available any more, and its stop is
-     * continued. Must be called before advance(), before or after restore(). Returns false if @p bytes are malformed.
+     * Uses the record with the key DisruptedRunsKey: a run that a former owner decided to stop is not available any more, its stop is
+     * continued, and its worker is cordoned until setCordoned() is called. Must be called before advance(), before or after restore().
+     * Returns false if @p bytes are malformed.
      */
     bool restoreDisruptions(std::string_view bytes);
     /** Takes over the predecessor's runTimeSnapshot(), before or after its job records. Returns false, without a change, if it is unreadable. */
--- a/libs/scheduling/src/schedulercopies.cpp
+++ b/libs/scheduling/src/schedulercopies.cpp
@@ -44,7 +44,8 @@
     run.suspect = entry.job.isCrashSuspect(ref);
     run.hasCrashes = entry.job.findCrashes(ref) != nullptr;
     run.placedOrAcceptedAt = now;
-    const bool isWanted = entry.job.isOpen() && isPlaced && !isDisrupted({entry.job.record().id, ref}, placed.run);
+    const bool disrupted = isDisrupted({entry.job.record().id, ref}, placed.run);
+    const bool isWanted = entry.job.isOpen() && isPlaced && !disrupted;
     run.stop = isWanted ? StopProgress::NotWanted : StopProgress::Due;
     const WorkerIncarnation incarnation = entry.job.record().incarnationOf(placed.worker);
     WorkerFacts facts;
@@ -57,6 +58,9 @@
         worker->second.assumeLease(now + (unreachable == predecessor.unreachable.end() ? predecessor.otherWorkers : unreachable->second));
     }
     worker->second.assumeIncarnation(incarnation.startTimeMs);
+    if (disrupted) {
+        cordoned.insert(placed.worker);
+    }
     addRun(worker->second, {entry.job.record().id, ref}, entry, std::move(run));
 }
 
--- a/libs/scheduling/src/schedulerdisruptions.cpp
+++ b/libs/scheduling/src/schedulerdisruptions.cpp
@@ -114,7 +114,10 @@
     m_impl->disruptedRuns = std::move(*runs);
     for (auto &[id, session] : m_impl->workers) {
         for (auto &[task, run] : session.runs()) {
-            run.stop = m_impl->isDisrupted(task, run.run) ? StopProgress::Due : run.stop;
+            if (m_impl->isDisrupted(task, run.run)) {
+                run.stop = StopProgress::Due;
+                m_impl->cordoned.insert(id);
+            }
         }
     }
     return true;
--- a/libs/scheduling/tests/disruptiontest.cpp
+++ b/libs/scheduling/tests/disruptiontest.cpp
@@ -188,6 +188,19 @@
     BOOST_TEST(fleet.stopsBeyondBudget() == 0U);
 }
 
+// Guards against a successor that starts a task again on the worker that its predecessor was emptying, before it has decided on the wave.
+BOOST_AUTO_TEST_CASE(workersThatThePredecessorWasEmptyingAreCordoned)
+{
+    ServingFleet fleet(1);
+    fleet.evacuateAll(Workers, 100ms);
+    BOOST_REQUIRE(fleet.owner().stops.size() == 1U);
+    const StopOrder stop = fleet.owner().stops.front();
+    fleet.changeOwner();
+    fleet.run(2s);
+    BOOST_TEST(fleet.unavailable() == 0U);
+    BOOST_TEST(fleet.owner().running[stop.worker].count(stop.task) == 0U);
+}
+
 // Guards against a successor that cannot take over because a record is damaged.
 BOOST_AUTO_TEST_CASE(aDamagedRecordOfDisruptedRunsIsIgnored)
 {
