Lift the speed limit of best-effort runs after a takeover and without serving runs

A best-effort run that was slowed for a serving run stayed slow for good if the serving run left the worker, or if the owner changed: the successor took its speed for full, so it saw nothing to lift.

Change: without a serving run on the worker, the limit is lifted; the speed of a restored run is unknown and ordered anew, from a reduced one where a serving run is beside it, once its latency is known. At most 32 such orders are given in a pass, because a takeover concerns all workers. theLimitOfABestEffortRunIsLifted fails in both cases without the change.

--- a/libs/scheduling/include/scheduling/workersession.h
+++ b/libs/scheduling/include/scheduling/workersession.h
@@ -78,7 +78,7 @@
     int percent = -1;
     /** The first percentage that the run reported; negative before that. */
     int firstPercent = -1;
-    /** Speed limit of a best-effort run in percent, 0 to 100; negative if the worker did not accept the latest order. */
+    /** Speed limit of a best-effort run in percent, 0 to 100; negative if it is not known, as the latest order failed or a former owner gave it. */
     int speedPercent = 100;
     StartProgress start = StartProgress::Unstored;
     StopProgress stop = StopProgress::NotWanted;
--- a/libs/scheduling/src/details/schedulerimpl.h
+++ b/libs/scheduling/src/details/schedulerimpl.h
@@ -414,7 +414,8 @@
     void checkRuns(BootTime now);
     /** Updates the estimates of waiting jobs with the latest run time statistics. */
     void refreshEstimates(BootTime now);
-    void throttleBestEffortRuns(WorkerSession &session, BootTime now);
+    /** @p ordersLeft is the number of orders that may still be given in this pass. */
+    void throttleBestEffortRuns(WorkerSession &session, std::size_t &ordersLeft, BootTime now);
     void dropClosedJobs(std::int64_t wallMs);
 
     // Placing.
--- a/libs/scheduling/src/schedulercopies.cpp
+++ b/libs/scheduling/src/schedulercopies.cpp
@@ -40,6 +40,7 @@
     run.run = placed.run;
     run.start = StartProgress::Unanswered;
     run.restored = true;
+    run.speedPercent = -1;
     run.copy = extra && isPlaced;
     run.suspect = entry.job.isCrashSuspect(ref);
     run.hasCrashes = entry.job.findCrashes(ref) != nullptr;
--- a/libs/scheduling/src/schedulertime.cpp
+++ b/libs/scheduling/src/schedulertime.cpp
@@ -23,6 +23,10 @@
 // Workers report latency over the last half second, so an earlier decision would not see the effect of the previous one.
 constexpr auto ThrottleInterval = 500ms;
 constexpr int FullSpeedPercent = 100;
+// Assumed of a run whose speed a former owner may have limited: full speed at once could harm the serving runs beside it.
+constexpr int RestoredSpeedPercent = 40;
+// After a takeover, the speeds of all best-effort runs are ordered anew. This bounds the orders of one pass, each 50 ms.
+constexpr std::size_t MaxThrottlesPerPass = 32;
 constexpr auto StalledWorkerAvoidPeriod = 4000ms;
 // Answers of workers count as being lost for this time after one was missing.
 constexpr auto AnswerLossMemory = 3s;
@@ -99,10 +103,10 @@
     }
 }
 
-// Limits the speed of best-effort runs on a worker that also has serving runs, by the latency of the latter.
-void Scheduler::Impl::throttleBestEffortRuns(WorkerSession &session, BootTime now)
+// Limits the speed of best-effort runs by the latency of the serving runs on their worker, and lifts the limit once there are none.
+void Scheduler::Impl::throttleBestEffortRuns(WorkerSession &session, std::size_t &ordersLeft, BootTime now)
 {
-    if (session.servingCount() == 0 || session.bestEffortCount() == 0 || !session.isReachable() || now - session.throttledAt() < ThrottleInterval) {
+    if (session.bestEffortCount() == 0 || !session.isReachable() || now - session.throttledAt() < ThrottleInterval || ordersLeft == 0) {
         return;
     }
     session.recordThrottling(now);
@@ -114,12 +118,15 @@
     }
     for (auto &[task, run] : session.runs()) {
         // If the worker did not accept the latest limit, the run is assumed to be at full speed.
-        const int currentPercent = run.speedPercent < 0 ? FullSpeedPercent : run.speedPercent;
-        const int wantedPercent = decideSpeedPercent(worstTailRatio, currentPercent);
-        if (!run.bestEffort || run.start != StartProgress::Accepted || wantedPercent == run.speedPercent) {
+        const int assumedPercent = run.restored ? RestoredSpeedPercent : FullSpeedPercent;
+        const int currentPercent = run.speedPercent < 0 ? assumedPercent : run.speedPercent;
+        const int wantedPercent = session.servingCount() == 0 ? FullSpeedPercent : decideSpeedPercent(worstTailRatio, currentPercent);
+        const bool isLoadUnknown = session.servingCount() > 0 && worstTailRatio < 0;
+        if (!run.bestEffort || run.start != StartProgress::Accepted || wantedPercent == run.speedPercent || isLoadUnknown) {
             continue;
         }
         run.speedPercent = wantedPercent;
+        ordersLeft -= ordersLeft > 0 ? 1 : 0;
         emitEvent("pace",
                   task,
                   run.run,
@@ -131,8 +138,9 @@
 
 void Scheduler::Impl::checkRuns(BootTime now)
 {
+    std::size_t throttlesLeft = MaxThrottlesPerPass;
     for (auto &[id, session] : workers) {
-        throttleBestEffortRuns(session, now);
+        throttleBestEffortRuns(session, throttlesLeft, now);
         const bool draining = session.facts().state == WorkerState::Draining;
         for (auto &[task, run] : session.runs()) {
             if (run.expectedEndAt != BootTime{} && run.expectedEndAt <= now) {
--- a/libs/scheduling/tests/schedulertest.cpp
+++ b/libs/scheduling/tests/schedulertest.cpp
@@ -53,6 +53,42 @@
     BOOST_TEST(fleet.throttles.back().percent == 100);
 }
 
+// Guards against a best-effort run that stays slow for good, because the serving run that it was slowed for is gone, or because the
+// owner that slowed it is.
+BOOST_AUTO_TEST_CASE(theLimitOfABestEffortRunIsLifted)
+{
+    StepSpec servingStep;
+    servingStep.demand = {1000, 100, 0};
+    servingStep.longRunning = true;
+    servingStep.tailLatencyTargetMs = 100;
+    StepSpec bestEffortStep = servingStep;
+    bestEffortStep.tailLatencyTargetMs = 0;
+    bestEffortStep.bestEffort = true;
+    for (const bool changesOwner : {false, true}) {
+        ScriptedFleet fleet({"w"});
+        fleet.submit("serving", {servingStep});
+        fleet.submit("best-effort", {bestEffortStep});
+        fleet.onListed = [&](const TaskName &task) {
+            return std::pair<int, std::int64_t>(100, task.job == "serving" ? 99 : 500);
+        };
+        fleet.run(2s);
+        BOOST_REQUIRE(!fleet.throttles.empty());
+        BOOST_TEST(fleet.throttles.back().percent == 0);
+        fleet.scheduler.cancel("serving", 1);
+        if (changesOwner) {
+            fleet.run(20ms);
+            ScriptedFleet successor({"w"}, {4000, 4000, 0}, {}, &fleet);
+            successor.onListed = fleet.onListed;
+            successor.run(2s);
+            BOOST_REQUIRE(!successor.throttles.empty());
+            BOOST_TEST(successor.throttles.back().percent == 100);
+        } else {
+            fleet.run(2s);
+            BOOST_TEST(fleet.throttles.back().percent == 100);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(aStalledTaskIsStoppedAndRestartedElsewhere)
 {
     ScriptedFleet fleet({"w1", "w2"});
