Index the open jobs of an owner, and search for expired ones twice a second

Cause: the owner keeps the jobs of the last two minutes, and went over all of them 20 times a second for due occurrences and for expired jobs, with each question for the number of pending jobs, and for estimates and reports, although only open jobs matter.

Change: the table of the jobs has an index of those that are open; expired jobs are searched for each 0.5 s, or at once while some remain. The placement pass still goes over all jobs: their order decides between equal jobs.

--- a/libs/scheduling/src/scheduler.cpp
+++ b/libs/scheduling/src/scheduler.cpp
@@ -151,10 +151,10 @@
 void Scheduler::setPolicy(std::shared_ptr<const FleetPolicy> policy)
 {
     m_impl->policy = std::move(policy);
-    for (auto &[id, entry] : m_impl->jobs) {
-        const auto queue = m_impl->policy->queues.find(entry.job.record().queue);
-        if (entry.job.isOpen() && queue != m_impl->policy->queues.end()) {
-            entry.job.setTerms(queue->second.terms);
+    for (JobEntry *entry : m_impl->jobs.open()) {
+        const auto queue = m_impl->policy->queues.find(entry->job.record().queue);
+        if (queue != m_impl->policy->queues.end()) {
+            entry->job.setTerms(queue->second.terms);
         }
     }
     m_impl->placementNeeded = true;
@@ -377,9 +377,9 @@
 
 std::size_t Scheduler::pendingJobCount(const std::string &queue) const
 {
-    return static_cast<std::size_t>(std::count_if(m_impl->jobs.begin(), m_impl->jobs.end(), [&](const auto &item) {
-        const JobEntry &entry = item.second;
-        return entry.stored && entry.job.isOpen() && !entry.job.record().hasStarted && entry.job.record().queue == queue;
+    const std::vector<JobEntry *> &open = m_impl->jobs.open();
+    return static_cast<std::size_t>(std::count_if(open.begin(), open.end(), [&](const JobEntry *entry) {
+        return entry->stored && !entry->job.record().hasStarted && entry->job.record().queue == queue;
     }));
 }
 
@@ -387,9 +387,7 @@
 {
     SchedulerCounts counts;
     counts.jobs = m_impl->jobs.size();
-    for (const auto &[id, entry] : m_impl->jobs) {
-        counts.openJobs += entry.job.isOpen() ? 1 : 0;
-    }
+    counts.openJobs = m_impl->jobs.open().size();
     counts.workers = m_impl->workers.size();
     for (const auto &[id, session] : m_impl->workers) {
         counts.reachableWorkers += session.isReachable() ? 1 : 0;
@@ -421,11 +419,11 @@
     for (const auto &[pool, demand] : m_impl->backlog) {
         pools[pool].backlog = demand;
     }
-    for (const auto &[id, entry] : m_impl->jobs) {
-        if (entry.job.isOpen() && entry.mayHaveReady) {
-            PoolCounts &counts = pools[entry.job.record().terms.pool];
+    for (const JobEntry *entry : m_impl->jobs.open()) {
+        if (entry->mayHaveReady) {
+            PoolCounts &counts = pools[entry->job.record().terms.pool];
             ++counts.waitingJobs;
-            counts.lateJobs += isLate(entry.estimate, now) ? 1 : 0;
+            counts.lateJobs += isLate(entry->estimate, now) ? 1 : 0;
         }
     }
     return pools;
--- a/libs/scheduling/src/scheduleradvice.cpp
+++ b/libs/scheduling/src/scheduleradvice.cpp
@@ -104,12 +104,12 @@
 std::size_t Scheduler::Impl::pendingAdviceRequests() const
 {
     std::size_t pending = 0;
-    for (const auto &[id, entry] : jobs) {
-        const auto queue = policy->queues.find(entry.job.record().queue);
-        if (!entry.job.isOpen() || queue == policy->queues.end() || !queue->second.advice) {
+    for (const JobEntry *entry : jobs.open()) {
+        const auto queue = policy->queues.find(entry->job.record().queue);
+        if (queue == policy->queues.end() || !queue->second.advice) {
             continue;
         }
-        for (const Occurrence &occurrence : entry.job.record().occurrences) {
+        for (const Occurrence &occurrence : entry->job.record().occurrences) {
             pending += static_cast<std::size_t>(std::count_if(occurrence.steps.begin(), occurrence.steps.end(), [](const std::vector<Task> &tasks) {
                 return std::any_of(tasks.begin(), tasks.end(), [](const Task &task) {
                     return task.phase == TaskPhase::Waiting;
--- a/libs/scheduling/src/schedulertime.cpp
+++ b/libs/scheduling/src/schedulertime.cpp
@@ -16,6 +16,8 @@
 // passes at a few percent of a core while thousands of jobs wait; a pass takes 1 to 3 us for each of them.
 constexpr std::chrono::microseconds PassIntervalPerJob = 50us;
 constexpr auto HousekeepingInterval = 50ms;
+// Each search for expired jobs goes over all jobs of the retention period, which is minutes.
+constexpr auto DropInterval = 500ms;
 constexpr auto EstimateRefreshInterval = 500ms;
 // If a stop takes this much longer than allowed, the stop order is considered lost and sent again.
 constexpr auto StopMargin = 600ms;
@@ -48,7 +50,11 @@
         impl.forgetSilentLosses(now);
         impl.checkRuns(now);
         impl.refreshEstimates(now);
+    }
+    if (now - impl.lastDropAt >= DropInterval) {
         impl.dropClosedJobs(wallMs);
+        const bool mayHaveMore = impl.droppedJobs.size() >= MaxDroppedJobsPerBatch;
+        impl.lastDropAt = mayHaveMore ? now - DropInterval + HousekeepingInterval : now;
     }
     std::visit(
         [now](auto &method) {
@@ -73,14 +79,14 @@
 
 void Scheduler::Impl::openDueOccurrences(std::int64_t wallMs)
 {
-    for (auto &[id, entry] : jobs) {
+    for (JobEntry *entry : jobs.open()) {
         bool opened = false;
-        for (std::optional<std::int64_t> due = entry.job.nextDueMs(); due && *due <= wallMs; due = entry.job.nextDueMs()) {
-            opened = entry.job.openOccurrence() || opened;
+        for (std::optional<std::int64_t> due = entry->job.nextDueMs(); due && *due <= wallMs; due = entry->job.nextDueMs()) {
+            opened = entry->job.openOccurrence() || opened;
         }
         if (opened) {
-            refreshEstimate(entry);
-            markDirty(entry);
+            refreshEstimate(*entry);
+            markDirty(*entry);
         }
     }
 }
@@ -173,9 +179,9 @@
         return;
     }
     lastEstimatesAt = now;
-    for (auto &[id, entry] : jobs) {
-        if (entry.mayHaveReady && entry.job.isOpen()) {
-            refreshEstimate(entry);
+    for (JobEntry *entry : jobs.open()) {
+        if (entry->mayHaveReady) {
+            refreshEstimate(*entry);
         }
     }
 }
