--- a/libs/scheduling/src/schedulerplacing.cpp
+++ b/libs/scheduling/src/schedulerplacing.cpp
@@ -65,9 +65,9 @@
     accountShares.clear();
     beginForecasts(now);
     std::vector<WaitingJob> waiting;
-    for (auto &[id, entry] : jobs) {
-        if (isWaiting(entry)) {
-            waiting.emplace_back(urgencyOf(entry, now), &entry);
+    for (JobEntry *entry : jobs.open()) {
+        if (entry->mayHaveReady) {
+            waiting.emplace_back(urgencyOf(*entry, now), entry);
         }
     }
     waitingJobCount = static_cast<std::int64_t>(waiting.size());
