Look for stops to send only while there may be some

Cause: each round of the owner's work, which every event triggers, went over the runs of all workers for stops that are due, although few rounds have any.

Change: the rounds look at the runs only after a stop became due, until none is left.

--- a/libs/scheduling/src/details/schedulerimpl.h
+++ b/libs/scheduling/src/details/schedulerimpl.h
@@ -209,6 +209,8 @@
     DisruptedRuns disruptedRuns;
     /** The next batch has the record of disruptedRuns. */
     bool disruptionsChanged = false;
+    /** Unless set, no stop waits to be sent, so that releaseStops() need not look at each run. */
+    bool mayHaveDueStops = false;
     /** Job states and placements in the batches that are not stored, by batch. */
     std::map<std::uint64_t, std::vector<std::pair<JobId, JobState>>> batchStates;
     std::map<std::uint64_t, std::vector<std::pair<WorkerId, TaskName>>> batchStarts;
--- a/libs/scheduling/src/schedulercopies.cpp
+++ b/libs/scheduling/src/schedulercopies.cpp
@@ -48,6 +48,7 @@
     const bool disrupted = isDisrupted({entry.job.record().id, ref}, placed.run);
     const bool isWanted = entry.job.isOpen() && isPlaced && !disrupted;
     run.stop = isWanted ? StopProgress::NotWanted : StopProgress::Due;
+    mayHaveDueStops = mayHaveDueStops || !isWanted;
     const WorkerIncarnation incarnation = entry.job.record().incarnationOf(placed.worker);
     WorkerFacts facts;
     facts.id = placed.worker;
--- a/libs/scheduling/src/schedulerdisruptions.cpp
+++ b/libs/scheduling/src/schedulerdisruptions.cpp
@@ -24,6 +24,7 @@
         return;
     }
     found->second.stop = StopProgress::Due;
+    mayHaveDueStops = true;
     emitEvent("stop-wanted", task, found->second.run, session.facts().id, std::string(reason));
 }
 
@@ -116,6 +117,7 @@
         for (auto &[task, run] : session.runs()) {
             if (m_impl->isDisrupted(task, run.run)) {
                 run.stop = StopProgress::Due;
+                m_impl->mayHaveDueStops = true;
                 m_impl->cordoned.insert(id);
             }
         }
@@ -149,6 +151,7 @@
     }
     live->second.stop = std::holds_alternative<OrderAccepted>(result) ? StopProgress::Accepted : StopProgress::Due;
     live->second.stopSentAt = now;
+    impl.mayHaveDueStops = true;
     found->second.requestListing(now);
     if (live->second.longRunning) {
         impl.emitEvent("stop-answered", order.task, order.run, order.worker, resultText(result) + ", token " + std::to_string(order.fencingToken));
--- a/libs/scheduling/src/schedulertime.cpp
+++ b/libs/scheduling/src/schedulertime.cpp
@@ -154,6 +154,7 @@
             }
             if (run.stop == StopProgress::Accepted && now - run.stopSentAt > times.stopGrace + StopMargin) {
                 run.stop = StopProgress::Due;
+                mayHaveDueStops = true;
             }
             const bool stalled = !run.longRunning && run.percent >= 0 && session.listedAt() - run.percentChangedAt >= StalledRunTimeout;
             const bool mayStop = stalled && run.start == StartProgress::Accepted && run.stop == StopProgress::NotWanted;
@@ -286,11 +287,16 @@
 
 void Scheduler::Impl::releaseStops(BootTime now)
 {
+    if (!mayHaveDueStops) {
+        return;
+    }
+    mayHaveDueStops = false;
     for (auto &[id, session] : workers) {
-        if (!session.isReachable()) {
-            continue;
-        }
         for (auto &[task, run] : session.runs()) {
+            mayHaveDueStops = mayHaveDueStops || run.stop == StopProgress::Due;
+            if (!session.isReachable()) {
+                continue;
+            }
             const bool sent = run.start == StartProgress::Accepted || run.start == StartProgress::Unanswered;
             if (run.stop != StopProgress::Due || !sent || now - run.stopSentAt < StopRetryInterval || run.stopBatch > storedBatch) {
                 continue;
