Count only runs that were disrupted as a sign that an instance is being emptied

Now the run must be one that an owner decided to stop so that the task continues elsewhere. stopsOfACancelledJobAreNoDisruptions guards the difference.

--- a/libs/jobnode/src/fleetcontroller.cpp
+++ b/libs/jobnode/src/fleetcontroller.cpp
@@ -359,7 +359,7 @@
                 if (run.longRunning) {
                     ++view.longRunningRuns;
                     view.longRunningDemand += run.demand;
-                    view.isBeingEmptied = view.isBeingEmptied || run.stop != StopProgress::NotWanted;
+                    view.isBeingEmptied = view.isBeingEmptied || m_scheduler.isDisrupted(task, run.run);
                 } else {
                     view.emptyAfter = std::max(view.emptyAfter, m_scheduler.remainingTime(run, now));
                 }
--- a/libs/scheduling/src/schedulerdisruptions.cpp
+++ b/libs/scheduling/src/schedulerdisruptions.cpp
@@ -88,6 +88,11 @@
     return found != disruptedRuns.end() && found->second == run;
 }
 
+bool Scheduler::isDisrupted(const TaskName &task, std::uint32_t run) const
+{
+    return m_impl->isDisrupted(task, run);
+}
+
 void Scheduler::Impl::addDisruptions(RecordBatch &batch)
 {
     if (!std::exchange(disruptionsChanged, false)) {
--- a/libs/scheduling/tests/disruptiontest.cpp
+++ b/libs/scheduling/tests/disruptiontest.cpp
@@ -195,12 +195,26 @@
     fleet.evacuateAll(Workers, 100ms);
     BOOST_REQUIRE(fleet.owner().stops.size() == 1U);
     const StopOrder stop = fleet.owner().stops.front();
+    BOOST_TEST(fleet.owner().scheduler.isDisrupted(stop.task, stop.run));
     fleet.changeOwner();
+    BOOST_TEST(fleet.owner().scheduler.isDisrupted(stop.task, stop.run));
     fleet.run(2s);
     BOOST_TEST(fleet.unavailable() == 0U);
     BOOST_TEST(fleet.owner().running[stop.worker].count(stop.task) == 0U);
 }
 
+// Guards against waves that cordon every instance on which a task of a cancelled job is being stopped.
+BOOST_AUTO_TEST_CASE(stopsOfACancelledJobAreNoDisruptions)
+{
+    ServingFleet fleet(1);
+    fleet.owner().scheduler.cancel("job", 1);
+    fleet.run(100ms);
+    BOOST_REQUIRE(fleet.owner().stops.size() == TaskCount);
+    for (const StopOrder &stop : fleet.owner().stops) {
+        BOOST_TEST(!fleet.owner().scheduler.isDisrupted(stop.task, stop.run));
+    }
+}
+
 // Guards against a successor that cannot take over because a record is damaged.
 BOOST_AUTO_TEST_CASE(aDamagedRecordOfDisruptedRunsIsIgnored)
 {
