--- a/libs/scheduling/src/details/jobtable.h
+++ b/libs/scheduling/src/details/jobtable.h
@@ -23,11 +23,11 @@
     JobTable &operator=(const JobTable &) = delete;
 
     // Commands.
-    std::pair<Map::iterator, bool> try_emplace(const JobId &id, const JobEntry &entry)
+    std::pair<Map::iterator, bool> tryEmplace(const JobId &id, const JobEntry &entry)
     {
         return note(m_jobs.try_emplace(id, entry));
     }
-    std::pair<Map::iterator, bool> insert_or_assign(const JobId &id, JobEntry entry)
+    std::pair<Map::iterator, bool> insertOrAssign(const JobId &id, JobEntry entry)
     {
         return note(m_jobs.insert_or_assign(id, std::move(entry)));
     }
--- a/libs/scheduling/src/scheduler.cpp
+++ b/libs/scheduling/src/scheduler.cpp
@@ -101,7 +101,7 @@
 void Scheduler::restore(JobRecord record, BootTime now, std::int64_t wallMs)
 {
     const JobId id = record.id;
-    JobEntry &entry = m_impl->jobs.insert_or_assign(id, JobEntry(std::move(record))).first->second;
+    JobEntry &entry = m_impl->jobs.insertOrAssign(id, JobEntry(std::move(record))).first->second;
     const JobRecord &restored = entry.job.record();
     entry.stored = true;
     entry.storedState = restored.state;
@@ -215,7 +215,7 @@
     const BootTime receivedAt = impl.admission.firstTries.find(id, now).value_or(now);
     impl.admission.firstTries.forget(id);
     record.submittedMs = wallMs - (now - receivedAt).count();
-    JobEntry &entry = impl.jobs.try_emplace(id, impl.newEntry(std::move(record), receivedAt, now)).first->second;
+    JobEntry &entry = impl.jobs.tryEmplace(id, impl.newEntry(std::move(record), receivedAt, now)).first->second;
     const auto account = impl.policy->accounts.find(entry.job.record().account);
     if (account != impl.policy->accounts.end()) {
         SubmissionBucket &bucket = impl.buckets[account->first];
--- a/libs/scheduling/src/schedulerexplanation.cpp
+++ b/libs/scheduling/src/schedulerexplanation.cpp
@@ -224,7 +224,7 @@
 void Scheduler::Impl::copyJob(const JobEntry &entry, bool withRuns, Impl &trial) const
 {
     const JobRecord &record = entry.job.record();
-    trial.jobs.try_emplace(record.id, entry);
+    trial.jobs.tryEmplace(record.id, entry);
     for (auto known = advice.lower_bound({record.id, {}}); known != advice.end() && known->first.first == record.id; ++known) {
         trial.advice.insert(*known);
     }
@@ -252,7 +252,7 @@
     PlacementTrace trace;
     trace.job = entry.job.record().id;
     trial->trace = &trace;
-    trial->jobs.try_emplace(trace.job, entry);
+    trial->jobs.tryEmplace(trace.job, entry);
     trial->openDueOccurrences(wallMs);
     trial->placeWaitingJobs(now);
     const JobRecord &placed = trial->jobs.at(trace.job).job.record();
