--- a/libs/jobnode/src/predecessororders.cpp
+++ b/libs/jobnode/src/predecessororders.cpp
@@ -96,7 +96,8 @@
     return {mayHaveOwnOrder && !m_handOver.predecessorEnded ? endAt() : BootTime{}, false};
 }
 
-// The times of a release tell for an order without an answer until when it may arrive, so that others are in the past.
+// A release dates an order that has no answer from the latest time at which it may arrive, and all others from their answer, which
+// is in the past.
 bool PredecessorOrders::mayArrive(const InstanceId &instance, BootTime now) const
 {
     const auto dated = m_handOver.blockedUntil.find(instance);
--- a/libs/scheduling/include/scheduling/waveplan.h
+++ b/libs/scheduling/include/scheduling/waveplan.h
@@ -38,11 +38,10 @@
 /**
  * Plans one wave of maintenance.
  *
- * Instances that are already being emptied, also by a former owner, come first, then empty instances, then instances with
- * long-running tasks. As many instances are emptied at a time as the remaining time requires. The plan orders
- * no maintenance that would take more instances of the wave out of service than its limit. Because a wave can
- * coincide with surges of different queues, instances that are otherwise equal come later if their pool has
- * a backlog, and only a fraction of a pool is emptied at once. Performs no I/O and reads no clock. Not thread-safe.
+ * Instances that are already being emptied, also by a former owner, come first and stay cordoned until they are empty, then empty instances, then instances
+ * with long-running tasks. As many instances are emptied at a time as the remaining time requires. The plan orders no maintenance that would take more
+ * instances of the wave out of service than its limit. Because a wave can coincide with surges of different queues, instances that are otherwise equal come
+ * later if their pool has a backlog, and only a fraction of a pool is emptied at once. Performs no I/O and reads no clock. Not thread-safe.
  */
 class WavePlan
 {
--- a/libs/scheduling/src/details/jobtable.h
+++ b/libs/scheduling/src/details/jobtable.h
@@ -31,9 +31,10 @@
     {
         return note(m_jobs.insert_or_assign(id, std::move(entry)));
     }
-    /** Erases a closed job. */
+    /** Erases a closed job. Returns the iterator that follows it. */
     Map::iterator erase(Map::iterator job)
     {
+        // Removes the closed jobs from the index, which would keep the address of the erased one otherwise.
         open();
         return m_jobs.erase(job);
     }
@@ -55,7 +56,7 @@
     }
 
     // Queries.
-    /** The open jobs, in no particular order; valid until the next command. A job that was closed since the last call is left out. */
+    /** The open jobs, in no particular order. Valid until the next command or the next call, which removes those that were closed meanwhile. */
     const std::vector<JobEntry *> &open() const
     {
         std::erase_if(m_open, [](const JobEntry *entry) {
--- a/libs/scheduling/src/details/schedulerimpl.h
+++ b/libs/scheduling/src/details/schedulerimpl.h
@@ -319,7 +319,7 @@
      */
     void requestDisruption(WorkerSession &session, const TaskName &task, std::string_view reason, BootTime now);
 
-    /** A former owner decided to stop the run. */
+    /** See Scheduler::isDisrupted(). */
     bool isDisrupted(const TaskName &task, std::uint32_t run) const;
     /** Adds the record of disrupted runs to the batch if it has to be stored. */
     void addDisruptions(RecordBatch &batch);
