Check the disruption budget again when a stop is written to its connection

Found while reading the change: the budget was checked when the stop of a long-running task was decided and when it was released, but not when it left: it may wait for one of the two connections to its worker, while another task of the step ends. Start orders and orders for instances are checked there already.

Change: the send condition of a stop asks the scheduler.

--- a/libs/jobnode/src/jobownerwork.cpp
+++ b/libs/jobnode/src/jobownerwork.cpp
@@ -124,7 +124,11 @@
 void JobOwner::Impl::execute(const StopOrder &order)
 {
     if (const WorkerSession *worker = scheduler.findWorker(order.worker)) {
-        context.workers.stop(worker->facts(), order, mayOrderWorkers, [self = shared_from_this(), order](const OrderResult &result) {
+        // Checked when the order is written to a connection, so that it also holds for an order that waited for one.
+        const SendCondition maySend = [self = shared_from_this(), order] {
+            return self->mayOrderWorkers() && self->scheduler.mayStop(order);
+        };
+        context.workers.stop(worker->facts(), order, maySend, [self = shared_from_this(), order](const OrderResult &result) {
             if (!self->ended) {
                 self->scheduler.handleStopResult(order, result, BootClock::now());
                 self->schedulePump();
--- a/libs/scheduling/include/scheduling/scheduler.h
+++ b/libs/scheduling/include/scheduling/scheduler.h
@@ -315,6 +315,8 @@
     const JobRecord *findJob(const JobId &job) const;
     /** Number of open jobs of @p queue that have a stored record and no started task. */
     std::size_t pendingJobCount(const std::string &queue) const;
+    /** Whether the order may still be sent: other tasks may have become unavailable while it waited. Also true for runs that are not known. */
+    bool mayStop(const StopOrder &order) const;
     /** Whether this owner or a former one decided to stop the run of a long-running task so that the task continues elsewhere. */
     bool isDisrupted(const TaskName &task, std::uint32_t run) const;
     SchedulerCounts counts() const;
--- a/libs/scheduling/src/schedulerdisruptions.cpp
+++ b/libs/scheduling/src/schedulerdisruptions.cpp
@@ -111,6 +111,16 @@
     return session.facts().state != WorkerState::Draining && isDisrupted(task, run.run) && !isWithinDisruptionBudget(task);
 }
 
+bool Scheduler::mayStop(const StopOrder &order) const
+{
+    const auto session = m_impl->workers.find(order.worker);
+    if (session == m_impl->workers.end()) {
+        return true;
+    }
+    const auto run = session->second.runs().find(order.task);
+    return run == session->second.runs().end() || run->second.run != order.run || !m_impl->mustHoldStop(session->second, order.task, run->second);
+}
+
 bool Scheduler::restoreDisruptions(std::string_view bytes)
 {
     std::optional<DisruptedRuns> runs = decodeDisruptedRuns(bytes);
--- a/libs/scheduling/tests/disruptiontest.cpp
+++ b/libs/scheduling/tests/disruptiontest.cpp
@@ -188,6 +188,25 @@
     BOOST_TEST(fleet.stopsBeyondBudget() == 0U);
 }
 
+// Guards against a stop that waits for a connection and is sent although another task has become unavailable meanwhile.
+BOOST_AUTO_TEST_CASE(aQueuedStopIsNotSentWhileOtherTasksAreUnavailable)
+{
+    ServingFleet fleet(1);
+    fleet.evacuateAll(Workers, 50ms);
+    BOOST_REQUIRE(fleet.owner().stops.size() == 1U);
+    const StopOrder stop = fleet.owner().stops.front();
+    BOOST_TEST(fleet.owner().scheduler.mayStop(stop));
+    const auto &running = fleet.owner().running;
+    const auto other = std::find_if(running.begin(), running.end(), [&](const auto &worker) {
+        return !worker.second.empty() && worker.second.begin()->first != stop.task;
+    });
+    fleet.owner().end(other->first, other->second.begin()->first, RunEnd::Failed);
+    fleet.run(50ms);
+    BOOST_TEST(!fleet.owner().scheduler.mayStop(stop));
+    fleet.run(StartupPeriod + 100ms);
+    BOOST_TEST(fleet.owner().scheduler.mayStop(stop));
+}
+
 // Guards against a successor that starts a task again on the worker that its predecessor was emptying, before it has decided on the wave.
 BOOST_AUTO_TEST_CASE(workersThatThePredecessorWasEmptyingAreCordoned)
 {
