Write the record of each case in its run.sh

Cause: run.sh only started case.py, which opened record.txt by itself. run.sh now writes it, and only a stated verdict gives exit 1: an error of Python gave it before. The limit of 110 s includes the start of the nodes, and SIGTERM ends them.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -46,4 +46,4 @@
     return None
 
 
-run_case(FOLDER, 3, scenario)
+run_case(3, scenario)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -67,4 +67,4 @@
     return None
 
 
-run_case(FOLDER, 9, scenario)
+run_case(9, scenario)
--- a/review/standin/stage.py
+++ b/review/standin/stage.py
@@ -437,9 +437,7 @@
 class Stage:
     """One deployment: the platform, its workers and the nodes of the system."""
 
-    def __init__(self, folder, workers, nodes=3):
-        self.folder = folder
-        self.record = open(os.path.join(folder, "record.txt"), "w")
+    def __init__(self, workers, nodes=3):
         self.began = time.monotonic()
         self.starts = 0
         self.started = {}
@@ -457,8 +455,8 @@
         self.ports = []
 
     def note(self, text):
-        self.record.write(f"{time.monotonic() - self.began:8.3f} {text}\n")
-        self.record.flush()
+        """Writes a line of the record, which run.sh keeps in record.txt."""
+        print(f"{time.monotonic() - self.began:8.3f} {text}", flush=True)
 
     def join_gang(self, worker, task, run, size, run_s):
         """The members of a gang work from the moment at which all are there, and end done together."""
@@ -670,7 +668,6 @@
         if keep:
             shutil.copytree(self.temporary, keep, dirs_exist_ok=True)
         shutil.rmtree(self.temporary, ignore_errors=True)
-        self.record.close()
 
     async def client(self, node, method, job, body=None, timeout=3.0, connection=None):
         """One client call at a node, on a connection of its own or on the given one; returns status and decoded body."""
@@ -701,27 +698,32 @@
         return {key: len(value[1]) for (name, _), part in self.store.partitions.items() if name == topic for key, value in part.newest.items()}
 
 
-def run_case(folder, workers, scenario, nodes=3, limit_s=115):
-    """Runs a scenario, a coroutine function that gets the stage and whether the disruption is to be made. Exits with its result."""
+HELD, CANNOT_RUN, BROKEN = 0, 2, 10  # run.sh turns BROKEN into 1, so that an error of Python never counts as a broken rule
+
+
+def run_case(workers, scenario, nodes=3, limit_s=110):
+    """Plays a scenario, a coroutine function that gets the stage and whether the disruption is to be made. Exits with its result."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def play():
-        stage = Stage(folder, workers, nodes)
-        try:
+        stage = Stage(workers, nodes)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
+
+        async def start_and_play():
             await stage.start()
-            broken = await asyncio.wait_for(scenario(stage, trouble), limit_s)
+            return await scenario(stage, trouble)
+
+        try:
+            broken = await asyncio.wait_for(start_and_play(), limit_s)
             stage.note("result: " + ("the rule is broken: " + broken if broken else "the rule holds"))
-            print("broken: " + broken if broken else "held")
-            return 1 if broken else 0
-        except (CannotRun, asyncio.TimeoutError) as error:
+            print("broken: " + broken if broken else "held", file=sys.stderr)
+            return BROKEN if broken else HELD
+        except (Exception, asyncio.CancelledError) as error:
             stage.note(f"could not run: {error!r}")
-            print(f"could not run: {error!r}")
-            return 2
+            print(f"could not run: {error!r}", file=sys.stderr)
+            return CANNOT_RUN
         finally:
             await stage.end()
 
-    try:
-        sys.exit(asyncio.run(play()))
-    except OSError as error:
-        print(f"could not run: {error!r}")
-        sys.exit(2)
+    sys.exit(asyncio.run(play()))
