--- a/libs/jobnode/include/jobnode/fleetcontroller.h
+++ b/libs/jobnode/include/jobnode/fleetcontroller.h
@@ -85,6 +85,8 @@
     std::map<InstanceId, InstanceView> viewInstances(BootTime now) const;
     bool mayOrder(const InstanceFacts &facts, BootTime now) const;
     void decideWaves(const std::map<InstanceId, InstanceView> &views, BootTime now);
+    /** Logs the instances whose long-running tasks the wave moves, with the number of these tasks, if they have changed. */
+    void logEmptying(std::uint64_t wave, const WaveDecision &decision, const std::map<InstanceId, InstanceView> &views);
     void decidePools(const std::map<InstanceId, InstanceView> &views, const FleetPolicy &policy, BootTime now);
     /** Refills the allowance of orders by the time since the last call. */
     void refillOrderAllowance(BootTime now);
@@ -120,6 +122,8 @@
     Gauge m_spareInstances;
     PoolPlan m_pools;
     std::map<std::uint64_t, WavePlan> m_waves;
+    /** See logEmptying(); by wave. */
+    std::map<std::uint64_t, std::string> m_loggedEmptying;
     /** Stored records of waves, by number; their waves may not have been added yet. */
     std::map<std::uint64_t, WaveRecord> m_restored;
     /** Waves whose records changed since the last takeChanged(). */
--- a/libs/jobnode/src/details/jobownerimpl.h
+++ b/libs/jobnode/src/details/jobownerimpl.h
@@ -219,6 +219,7 @@
     // Storing.
     void storeNext(BootTime now);
     void sendChunk();
+    void logNotStored(const RecordBatch &chunk, StoreFailure failure) const;
     void onChunkStored();
     void onBatchStored(std::uint64_t batch);
     /** Counts the failure, then calls @p retryAction after a delay or moves the jobs to another partition. */
--- a/libs/jobnode/src/fleetcontroller.cpp
+++ b/libs/jobnode/src/fleetcontroller.cpp
@@ -382,6 +382,7 @@
             continue;
         }
         const WaveDecision decision = wave.decide(views, backlog, now);
+        logEmptying(number, decision, views);
         for (const InstanceId &instance : decision.cordon) {
             m_cordoned.push_back(views.at(instance).facts.worker);
         }
@@ -406,6 +407,17 @@
     m_scheduler.setLeaving(std::move(leaving));
 }
 
+void FleetController::logEmptying(std::uint64_t wave, const WaveDecision &decision, const std::map<InstanceId, InstanceView> &views)
+{
+    std::string emptying;
+    for (const InstanceId &instance : decision.evacuate) {
+        emptying += (emptying.empty() ? "" : ",") + instance + ":" + std::to_string(views.at(instance).longRunningRuns);
+    }
+    if (std::exchange(m_loggedEmptying[wave], emptying) != emptying) {
+        logChange("instances", "wave empties", {{"wave", std::to_string(wave)}, {"long-running-runs", emptying}});
+    }
+}
+
 void FleetController::decidePools(const std::map<InstanceId, InstanceView> &views, const FleetPolicy &policy, BootTime now)
 {
     std::map<std::string, PoolDemand> pools;
--- a/libs/jobnode/src/jobownerstore.cpp
+++ b/libs/jobnode/src/jobownerstore.cpp
@@ -97,17 +97,34 @@
             self->loseOwnership("the store refused a batch: " + std::string(toName(result.error())));
             return;
         }
-        logChange("owner",
-                  "batch not stored",
-                  {{"batch", std::to_string(self->chunks.front().number)},
-                   {"partition", std::to_string(self->partition)},
-                   {"reason", std::string(toName(result.error()))}});
+        self->logNotStored(self->chunks.front(), result.error());
         self->noteStoreFailure(result.error(), sentAt, [self] {
             self->sendChunk();
         });
     });
 }
 
+void JobOwner::Impl::logNotStored(const RecordBatch &chunk, StoreFailure failure) const
+{
+    std::size_t bytes = 0;
+    std::pair<std::string, std::size_t> largest;
+    for (const auto &[key, value] : chunk.records) {
+        bytes += value.size();
+        if (value.size() > largest.second) {
+            largest = {key, value.size()};
+        }
+    }
+    logChange("owner",
+              "batch not stored",
+              {{"batch", std::to_string(chunk.number)},
+               {"partition", std::to_string(partition)},
+               {"reason", std::string(toName(failure))},
+               {"records", std::to_string(chunk.records.size())},
+               {"bytes", std::to_string(bytes)},
+               {"largest-key", largest.first},
+               {"largest-bytes", std::to_string(largest.second)}});
+}
+
 void JobOwner::Impl::onChunkStored()
 {
     const std::uint64_t batch = chunks.front().number;
--- a/libs/scheduling/src/details/schedulerimpl.h
+++ b/libs/scheduling/src/details/schedulerimpl.h
@@ -107,6 +107,16 @@
     bool isWithinCap = true;
 };
 
+/** A long-running task whose turn has come and that has no worker. */
+struct UnplacedTask {
+    BootTime since{};
+    BootTime checkedAt{};
+    /** The number of workers of its pool by the reason why each did not get the task. */
+    std::string reasons;
+    /** The latest placement pass that did not place the task. */
+    std::uint64_t pass = 0;
+};
+
 /** A waiting job with its position in the placement order. */
 using WaitingJob = std::pair<JobUrgency, JobEntry *>;
 
@@ -224,6 +234,7 @@
     /** Jobs with waiting tasks at the latest placement pass. */
     std::int64_t waitingJobCount = 0;
     std::uint64_t placementPasses = 0;
+    std::map<TaskName, UnplacedTask> unplacedLongRunning;
     BootTime lastHousekeepingAt{};
     BootTime lastDropAt{};
     BootTime lastEstimatesAt{};
@@ -388,6 +399,10 @@
     void placeJob(JobEntry &entry, PoolCandidates &candidates, BootTime now);
     void placeStep(JobEntry &entry, const Occurrence &occurrence, std::uint32_t step, PoolCandidates &candidates, BootTime now);
     void placeGang(JobEntry &entry, const Occurrence &occurrence, std::uint32_t step, PlacementRequest request, PoolCandidates &candidates, BootTime now);
+    /** Keeps since when the long-running task has no worker, and emits an event when the reasons change. */
+    void noteUnplaced(const TaskName &task, const std::string &pool, const PlacementRequest &request, BootTime now);
+    /** Forgets the tasks that the latest pass has placed or that do not wait any more. */
+    void forgetPlaced(BootTime now);
     /** Whether single tasks of the job that were not placed count as backlog of their pool. */
     bool isDemand(const JobEntry &entry, BootTime now) const;
     /** Adds @p count tasks that were not placed to the backlog of their pool. */
--- a/libs/scheduling/src/schedulerplacing.cpp
+++ b/libs/scheduling/src/schedulerplacing.cpp
@@ -6,6 +6,11 @@
 
 namespace {
 
+using namespace std::chrono_literals;
+
+// The reasons against all workers of a pool are gathered this often for each long-running task without a worker.
+constexpr auto UnplacedCheckInterval = 500ms;
+
 bool anyFitsInto(const std::vector<Resources> &refused, const Resources &demand)
 {
     return std::any_of(refused.begin(), refused.end(), [&](const Resources &smaller) {
@@ -73,6 +78,7 @@
     waitingJobCount = static_cast<std::int64_t>(waiting.size());
     ++placementPasses;
     if (waiting.empty()) {
+        forgetPlaced(now);
         return;
     }
     std::sort(waiting.begin(), waiting.end(), [](const auto &left, const auto &right) {
@@ -89,6 +95,49 @@
     for (const auto &[urgency, entry] : waiting) {
         addToForecast(urgency, *entry, now);
     }
+    forgetPlaced(now);
+}
+
+void Scheduler::Impl::noteUnplaced(const TaskName &task, const std::string &pool, const PlacementRequest &request, BootTime now)
+{
+    const auto [found, isNew] = unplacedLongRunning.try_emplace(task);
+    UnplacedTask &unplaced = found->second;
+    unplaced.since = isNew ? now : unplaced.since;
+    unplaced.pass = placementPasses;
+    if (!isNew && now - unplaced.checkedAt < UnplacedCheckInterval) {
+        return;
+    }
+    unplaced.checkedAt = now;
+    std::map<CandidateRejection, std::size_t> counts;
+    for (auto &[id, session] : workers) {
+        if (session.facts().pool != pool) {
+            continue;
+        }
+        const JobId *keptFor = isolation.jobOf(id);
+        const std::optional<CandidateRejection> inGeneral = reasonAgainstCandidate(id, session, now);
+        const std::optional<CandidateRejection> reason
+            = inGeneral ? inGeneral : rejectionOf(request, {&session, false, keptFor == nullptr ? JobId() : *keptFor});
+        ++counts[reason.value_or(CandidateRejection::NotPermitted)];
+    }
+    std::string reasons;
+    for (const auto &[reason, count] : counts) {
+        reasons += (reasons.empty() ? "" : ", ") + std::string(toName(reason)) + " " + std::to_string(count);
+    }
+    if (reasons != unplaced.reasons || isNew) {
+        unplaced.reasons = std::move(reasons);
+        emitEvent("task-unplaced", task, 0, {}, std::to_string((now - unplaced.since).count()) + " ms, workers: " + unplaced.reasons);
+    }
+}
+
+void Scheduler::Impl::forgetPlaced(BootTime now)
+{
+    std::erase_if(unplacedLongRunning, [&](const auto &item) {
+        if (item.second.pass == placementPasses) {
+            return false;
+        }
+        emitEvent("task-unplaced-over", item.first, 0, {}, std::to_string((now - item.second.since).count()) + " ms");
+        return true;
+    });
 }
 
 void Scheduler::Impl::placeJob(JobEntry &entry, PoolCandidates &candidates, BootTime now)
@@ -196,6 +245,9 @@
         noteDecision({entry, step, request, candidates, permissions, chosen, mayUseMore}, now);
         if (chosen == nullptr) {
             entry.mayHaveReady = true;
+            if (spec.longRunning && mayUseMore) {
+                noteUnplaced({entry.job.record().id, ref}, entry.job.record().terms.pool, request, now);
+            }
             if (isDemand(entry, now)) {
                 addToBacklog(entry, request, 1);
             }
--- a/libs/scheduling/src/schedulerresults.cpp
+++ b/libs/scheduling/src/schedulerresults.cpp
@@ -330,8 +330,9 @@
             lostTasks.push_back(task);
         }
     }
+    const std::string reason = "not listed, " + std::to_string(listing.ended.size()) + " ends listed";
     for (const TaskName &task : lostTasks) {
-        markRunLost(session, task, wallMs, "not listed");
+        markRunLost(session, task, wallMs, reason);
     }
 }
 
