Take no run for lost beside a listing that leaves ends out

Cause: workers list 500 ends at a time. applyAbsent took each listing for complete and each run that it does not show for lost, so the tasks whose ends were among the others were placed again. The ends of their first runs were acknowledged later all the same.

Ruled out: expired leases, and listings that were overtaken by the answer to a start.

The listed ends are stored and acknowledged as before, so that the next listings show the others; a complete listing decides. A successor and start orders without an answer use the same function.

The simulated fleet and the emulator now limit the ends of a listing. The scripted fleet confirms the batches of an outage once the store is back; before, it lost them.

--- a/libs/scheduling/include/scheduling/orders.h
+++ b/libs/scheduling/include/scheduling/orders.h
@@ -143,6 +143,11 @@
     std::int64_t clockMs = 0;
     std::vector<ListedRun> running;
     std::vector<ListedEnd> ended;
+    /**
+     * The worker may have further ends, which later listings contain once these are acknowledged. A run that the listing does not
+     * show may be among them.
+     */
+    bool mayHaveMoreEnds = false;
 };
 
 /** Why a worker rejected an order. A rejected order certainly had no effect. */
--- a/libs/scheduling/src/schedulerresults.cpp
+++ b/libs/scheduling/src/schedulerresults.cpp
@@ -330,6 +330,14 @@
             lostTasks.push_back(task);
         }
     }
+    if (listing.mayHaveMoreEnds) {
+        // Each of these runs may have ended, with its end among those that the listing leaves out.
+        if (!lostTasks.empty()) {
+            const std::string detail = std::to_string(lostTasks.size()) + " runs not listed beside " + std::to_string(listing.ended.size()) + " ends";
+            emitEvent("listing-incomplete", {}, 0, session.facts().id, detail);
+        }
+        return;
+    }
     const std::string reason = "not listed, " + std::to_string(listing.ended.size()) + " ends listed";
     for (const TaskName &task : lostTasks) {
         markRunLost(session, task, wallMs, reason);
--- a/libs/scheduling/tests/fleetsimulation.h
+++ b/libs/scheduling/tests/fleetsimulation.h
@@ -43,6 +43,8 @@
     std::chrono::milliseconds ownerChangeInterval{0};
     /** Outages of the store. */
     std::chrono::milliseconds storeOutageInterval{0};
+    /** The ends in a listing at most; 0 for no limit. */
+    std::size_t maxListedEnds = 0;
 };
 
 /** Seeds of simulations, both ends included. */
--- a/libs/scheduling/tests/fleetsimulationworkers.cpp
+++ b/libs/scheduling/tests/fleetsimulationworkers.cpp
@@ -185,7 +185,11 @@
         listing.running.push_back({task, run.run, "", percentOf(run), 0});
     }
     listing.ended = worker.ended;
-    for (const ListedEnd &end : worker.ended) {
+    if (m_faults.maxListedEnds != 0 && listing.ended.size() >= m_faults.maxListedEnds) {
+        listing.ended.resize(m_faults.maxListedEnds);
+        listing.mayHaveMoreEnds = true;
+    }
+    for (const ListedEnd &end : listing.ended) {
         worker.listedEnds.insert(end.number);
     }
     return listing;
--- a/libs/scheduling/tests/schedulertest.cpp
+++ b/libs/scheduling/tests/schedulertest.cpp
@@ -106,6 +106,36 @@
     BOOST_TEST(fleet.starts[0].worker != fleet.starts[1].worker);
 }
 
+// Guards against tasks that are run again although they have ended, because the listing of their worker left their ends out.
+BOOST_AUTO_TEST_CASE(runsWhoseEndsAListingLeavesOutAreNotLost)
+{
+    constexpr std::uint32_t TaskCount = 12;
+    for (const bool changesOwner : {false, true}) {
+        ScriptedFleet fleet({"w"});
+        fleet.maxListedEnds = 5;
+        StepSpec step;
+        step.count = TaskCount;
+        step.demand = {100, 100, 0};
+        step.estimateMs = 500;
+        fleet.submit("job", {step});
+        fleet.run(500ms);
+        BOOST_REQUIRE(fleet.starts.size() == TaskCount);
+        fleet.isStoreAvailable = false;
+        for (std::uint32_t index = 0; index < TaskCount; ++index) {
+            fleet.end("w", {"job", {0, 0, index}}, RunEnd::Done);
+        }
+        fleet.run(1s);
+        fleet.isStoreAvailable = true;
+        ScriptedFleet successor({"w"}, {4000, 4000, 0}, {}, &fleet);
+        successor.maxListedEnds = 5;
+        ScriptedFleet &owner = changesOwner ? successor : fleet;
+        owner.run(2s);
+        BOOST_TEST(fleet.starts.size() + successor.starts.size() == TaskCount);
+        BOOST_TEST(owner.acknowledged["w"] == TaskCount);
+        BOOST_TEST((owner.scheduler.stateOf("job") == JobState::Completed));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(aFleetWithoutFaultsCompletesItsJobs)
 {
     // One job in six is cancelled, so not all of them can complete.
@@ -262,3 +292,14 @@
     faults.storeOutageInterval = 10s;
     simulateSeeds(faults, 0.5);
 }
+
+// Guards against a task that has two runs, or a run after its acknowledged end, as workers have more ends than a listing contains.
+BOOST_AUTO_TEST_CASE(listingsThatLeaveEndsOutBreakNoInvariant)
+{
+    FaultTable faults;
+    faults.storeOutageInterval = 3s;
+    faults.ownerChangeInterval = 5s;
+    faults.lostAnswerFraction = 0.05;
+    faults.maxListedEnds = 2;
+    simulateSeeds(faults, 0.7);
+}
--- a/libs/scheduling/tests/scriptedfleet.cpp
+++ b/libs/scheduling/tests/scriptedfleet.cpp
@@ -83,8 +83,9 @@
         for (const auto &[key, bytes] : batch.records) {
             stored[key] = bytes;
         }
-        if (!batch.isEmpty() && isStoreAvailable) {
-            scheduler.handleBatchStored(batch.number, now);
+        m_latestBatch = batch.isEmpty() ? m_latestBatch : batch.number;
+        if (isStoreAvailable && !scheduler.isStored(m_latestBatch)) {
+            scheduler.handleBatchStored(m_latestBatch, now);
         }
         if (beforeOrders) {
             beforeOrders();
@@ -206,10 +207,11 @@
         listing.running.push_back({task, run, "", percent, load});
     }
     for (const ListedEnd &end : m_ended[order.worker]) {
-        if (end.number > order.acknowledgedEnd) {
+        if (end.number > order.acknowledgedEnd && listing.ended.size() < maxListedEnds) {
             listing.ended.push_back(end);
         }
     }
+    listing.mayHaveMoreEnds = listing.ended.size() >= maxListedEnds;
     return listing;
 }
 
--- a/libs/scheduling/tests/scriptedfleet.h
+++ b/libs/scheduling/tests/scriptedfleet.h
@@ -62,10 +62,12 @@
     /** Tasks that crash each worker 10 ms after it has started them. */
     std::set<TaskName> crashingTasks;
     std::size_t crashes = 0;
-    /** While false, batches stay unconfirmed. */
+    /** While false, batches stay unconfirmed; they are confirmed once it is true again. */
     bool isStoreAvailable = true;
     /** Encoded records by their keys. */
     std::map<std::string, std::string> stored;
+    /** The ends in a listing at most; the others follow once these are acknowledged. */
+    std::size_t maxListedEnds = 500;
     /** Time that a worker takes to stop a run. */
     std::chrono::milliseconds stopDelay{0};
 
@@ -93,6 +95,7 @@
     std::vector<StoppingRun> m_stopping;
     std::set<WorkerId> m_silent;
     std::set<WorkerId> m_replaced;
+    std::uint64_t m_latestBatch = 0;
     std::map<WorkerId, std::vector<ListedEnd>> m_ended;
 };
 
