Empty the instances of a pool for all waves together, with a way back

Cause: each wave counted for itself how many instances of a pool it empties. Two waves cordoned two of three workers; the task that was stopped for one fitted only on the other, and the disruption budget of its step, which it used up, kept both from becoming empty. Emptying had no way back, so that one wave alone can do the same if the other workers have as many tasks of the step as they may.

Evidence: task-unplaced says cordoned 2, step-limit 1, and wave empties names one instance of each wave. Ruled out: capacity (no worker is refused for it) and the count of the budget (one task away of one).

Change: the waves of a decision share the instances that are being emptied. The scheduler tells for how long a long-running task waits that fits on a cordoned worker; after 2 s emptying pauses in its pool, and then one instance is emptied at a time.

--- a/libs/jobnode/include/jobnode/fleetcontroller.h
+++ b/libs/jobnode/include/jobnode/fleetcontroller.h
@@ -85,6 +85,8 @@
     std::map<InstanceId, InstanceView> viewInstances(BootTime now) const;
     bool mayOrder(const InstanceFacts &facts, BootTime now) const;
     void decideWaves(const std::map<InstanceId, InstanceView> &views, BootTime now);
+    /** Also decides in which pools emptying pauses. */
+    WaveSurroundings surroundingsOfWaves(const std::map<InstanceId, InstanceView> &views, BootTime now);
     /** Logs the instances whose long-running tasks the wave moves, with the number of these tasks, if they have changed. */
     void logEmptying(std::uint64_t wave, const WaveDecision &decision, const std::map<InstanceId, InstanceView> &views);
     void decidePools(const std::map<InstanceId, InstanceView> &views, const FleetPolicy &policy, BootTime now);
@@ -122,6 +124,13 @@
     Gauge m_spareInstances;
     PoolPlan m_pools;
     std::map<std::uint64_t, WavePlan> m_waves;
+    /** Emptying of instances pauses in a pool, because a long-running task waits there; afterwards they are emptied one at a time. */
+    struct DisplacementPause {
+        BootTime until{};
+        DisplacedWait length = DisplacedWait::Long;
+    };
+    /** By pool; those of the waves that are open. */
+    std::map<std::string, DisplacementPause> m_pauses;
     /** See logEmptying(); by wave. */
     std::map<std::uint64_t, std::string> m_loggedEmptying;
     /** Stored records of waves, by number; their waves may not have been added yet. */
--- a/libs/jobnode/src/fleetcontroller.cpp
+++ b/libs/jobnode/src/fleetcontroller.cpp
@@ -25,6 +25,12 @@
 constexpr double UsedRateFraction = 0.9;
 // The allowance of orders is at most that of this time.
 constexpr double MaxAllowanceSeconds = 0.5;
+// A long-running task may be without a worker for 6 s after its last run. A stop takes up to 0.9 s of them, and the start of the next run some.
+constexpr auto MaxDisplacedWait = 2000ms;
+// An instance without long-running tasks is usually maintained and back within this time, so it is given up later.
+constexpr std::chrono::milliseconds MaxDisplacedWaitForEmpty = 4000ms;
+// Enough for the waiting task to be started and ready on an instance that was given up.
+constexpr auto EmptyingPause = 2000ms;
 
 std::string targetOf(const InstanceOrder &order)
 {
@@ -370,18 +376,56 @@
     return views;
 }
 
-void FleetController::decideWaves(const std::map<InstanceId, InstanceView> &views, BootTime now)
+WaveSurroundings FleetController::surroundingsOfWaves(const std::map<InstanceId, InstanceView> &views, BootTime now)
 {
-    std::map<std::string, Resources> backlog;
+    WaveSurroundings surroundings;
     for (const auto &[id, view] : views) {
-        backlog.try_emplace(view.facts.pool, m_scheduler.backlogOf(view.facts.pool));
+        surroundings.backlog.try_emplace(view.facts.pool, m_scheduler.backlogOf(view.facts.pool));
+        if (view.isBeingEmptied) {
+            surroundings.emptying.insert(id);
+        }
+    }
+    bool hasOpenWaves = false;
+    for (const auto &[number, wave] : m_waves) {
+        if (!wave.isCompleted()) {
+            hasOpenWaves = true;
+            surroundings.emptying.insert(wave.emptying().begin(), wave.emptying().end());
+        }
+    }
+    for (const auto &[pool, wait] : m_scheduler.displacedTasks(now)) {
+        if (wait < MaxDisplacedWait) {
+            continue;
+        }
+        const DisplacedWait length = wait < MaxDisplacedWaitForEmpty ? DisplacedWait::Long : DisplacedWait::TooLong;
+        DisplacementPause &pause = m_pauses[pool];
+        if (pause.until < now || pause.length < length) {
+            logChange("instances", "emptying pauses", {{"pool", pool}, {"task-waits-ms", std::to_string(wait.count())}});
+        }
+        pause.length = pause.until < now ? length : std::max(pause.length, length);
+        pause.until = now + EmptyingPause;
+    }
+    if (!hasOpenWaves) {
+        m_pauses.clear();
+    }
+    for (const auto &[pool, pause] : m_pauses) {
+        surroundings.crowded.insert(pool);
+        if (now < pause.until) {
+            surroundings.displaced.emplace(pool, pause.length);
+        }
     }
+    return surroundings;
+}
+
+void FleetController::decideWaves(const std::map<InstanceId, InstanceView> &views, BootTime now)
+{
+    WaveSurroundings surroundings = surroundingsOfWaves(views, now);
     std::vector<WorkerId> leaving;
     for (auto &[number, wave] : m_waves) {
         if (wave.isCompleted()) {
             continue;
         }
-        const WaveDecision decision = wave.decide(views, backlog, now);
+        const WaveDecision decision = wave.decide(views, surroundings, now);
+        surroundings.emptying.insert(decision.emptying.begin(), decision.emptying.end());
         logEmptying(number, decision, views);
         for (const InstanceId &instance : decision.cordon) {
             m_cordoned.push_back(views.at(instance).facts.worker);
--- a/libs/scheduling/include/scheduling/scheduler.h
+++ b/libs/scheduling/include/scheduling/scheduler.h
@@ -382,6 +382,11 @@
      * late, but not if the account's limit rules it out.
      */
     Resources backlogOf(const std::string &pool) const;
+    /**
+     * The pools with a long-running task that has no worker although a cordoned one has room for it, and for how long the one that
+     * waits longest has waited.
+     */
+    std::map<std::string, std::chrono::milliseconds> displacedTasks(BootTime now) const;
     /** The part of the backlog of @p pool that requires a label, by label. */
     std::map<std::string, Resources> labelledBacklogOf(const std::string &pool) const;
 
--- a/libs/scheduling/src/details/schedulerimpl.h
+++ b/libs/scheduling/src/details/schedulerimpl.h
@@ -111,8 +111,11 @@
 struct UnplacedTask {
     BootTime since{};
     BootTime checkedAt{};
+    std::string pool;
     /** The number of workers of its pool by the reason why each did not get the task. */
     std::string reasons;
+    /** A worker would get the task if it were not cordoned. */
+    bool fitsCordoned = false;
     /** The latest placement pass that did not place the task. */
     std::uint64_t pass = 0;
 };
--- a/libs/scheduling/src/schedulerplacing.cpp
+++ b/libs/scheduling/src/schedulerplacing.cpp
@@ -108,6 +108,8 @@
         return;
     }
     unplaced.checkedAt = now;
+    unplaced.pool = pool;
+    unplaced.fitsCordoned = false;
     std::map<CandidateRejection, std::size_t> counts;
     for (auto &[id, session] : workers) {
         if (session.facts().pool != pool) {
@@ -115,8 +117,9 @@
         }
         const JobId *keptFor = isolation.jobOf(id);
         const std::optional<CandidateRejection> inGeneral = reasonAgainstCandidate(id, session, now);
-        const std::optional<CandidateRejection> reason
-            = inGeneral ? inGeneral : rejectionOf(request, {&session, false, keptFor == nullptr ? JobId() : *keptFor});
+        const std::optional<CandidateRejection> forTask = rejectionOf(request, {&session, false, keptFor == nullptr ? JobId() : *keptFor});
+        const std::optional<CandidateRejection> reason = inGeneral ? inGeneral : forTask;
+        unplaced.fitsCordoned = unplaced.fitsCordoned || (inGeneral == CandidateRejection::Cordoned && !forTask);
         ++counts[reason.value_or(CandidateRejection::NotPermitted)];
     }
     std::string reasons;
@@ -129,6 +132,18 @@
     }
 }
 
+std::map<std::string, std::chrono::milliseconds> Scheduler::displacedTasks(BootTime now) const
+{
+    std::map<std::string, std::chrono::milliseconds> waits;
+    for (const auto &[task, unplaced] : m_impl->unplacedLongRunning) {
+        if (unplaced.fitsCordoned) {
+            std::chrono::milliseconds &wait = waits[unplaced.pool];
+            wait = std::max(wait, std::chrono::duration_cast<std::chrono::milliseconds>(now - unplaced.since));
+        }
+    }
+    return waits;
+}
+
 void Scheduler::Impl::forgetPlaced(BootTime now)
 {
     std::erase_if(unplacedLongRunning, [&](const auto &item) {
--- a/libs/scheduling/src/waveplan.cpp
+++ b/libs/scheduling/src/waveplan.cpp
@@ -79,6 +79,16 @@
     return view.isBeingEmptied || m_emptying.count(view.facts.id) != 0;
 }
 
+bool WavePlan::mustPause(const InstanceView &view, const WaveSurroundings &surroundings)
+{
+    const auto displaced = surroundings.displaced.find(view.facts.pool);
+    // A task that is being stopped has lost its worker in any case.
+    if (displaced == surroundings.displaced.end() || view.isBeingEmptied) {
+        return false;
+    }
+    return view.longRunningRuns > 0 || displaced->second == DisplacedWait::TooLong;
+}
+
 std::size_t WavePlan::targetConcurrency(const std::vector<const InstanceView *> &pending, BootTime now) const
 {
     const auto reserved = std::chrono::duration_cast<std::chrono::milliseconds>(m_spec.duration * ReservedFraction);
@@ -91,7 +101,12 @@
     return std::clamp<std::size_t>(static_cast<std::size_t>(targetCount), 1, m_spec.maxUnavailable);
 }
 
-WaveDecision WavePlan::decide(const std::map<InstanceId, InstanceView> &instances, const std::map<std::string, Resources> &backlog, BootTime now)
+const std::set<InstanceId> &WavePlan::emptying() const
+{
+    return m_emptying;
+}
+
+WaveDecision WavePlan::decide(const std::map<InstanceId, InstanceView> &instances, const WaveSurroundings &surroundings, BootTime now)
 {
     WaveDecision decision;
     std::size_t out = 0;
@@ -121,8 +136,8 @@
     const bool force = now > m_deadline - m_times.forceMargin;
     std::sort(pending.begin(), pending.end(), [&](const InstanceView *a, const InstanceView *b) {
         const auto key = [&](const InstanceView *view) {
-            const auto waiting = backlog.find(view->facts.pool);
-            const bool busyPool = waiting != backlog.end() && waiting->second.cpu > 0;
+            const auto waiting = surroundings.backlog.find(view->facts.pool);
+            const bool busyPool = waiting != surroundings.backlog.end() && waiting->second.cpu > 0;
             // Of the instances with runs, those with long-running tasks come first: their tasks move one after another,
             // which takes longest.
             return std::tuple(!isEmptying(*view), view->runs != 0, view->longRunningRuns == 0, busyPool, view->runs, view->facts.id);
@@ -130,6 +145,11 @@
         return key(a) < key(b);
     });
     std::map<std::string, std::size_t> emptyingByPool;
+    for (const InstanceId &id : surroundings.emptying) {
+        if (const auto found = instances.find(id); found != instances.end()) {
+            ++emptyingByPool[found->second.facts.pool];
+        }
+    }
     std::set<InstanceId> emptying;
     const std::size_t targetCount = targetConcurrency(pending, now);
     for (const InstanceView *view : pending) {
@@ -144,11 +164,17 @@
             ++out;
             continue;
         }
+        if (mustPause(*view, surroundings)) {
+            continue;
+        }
+        const bool isCounted = surroundings.emptying.count(id) != 0;
         std::size_t &emptyingInPool = emptyingByPool[view->facts.pool];
-        const std::size_t maxEmptyingInPool = std::max<std::size_t>(1, poolSizes[view->facts.pool] / EmptyingPoolDivisor);
+        const bool isCrowded = surroundings.crowded.count(view->facts.pool) != 0;
+        const std::size_t maxEmptyingInPool = isCrowded ? 1 : std::max<std::size_t>(1, poolSizes[view->facts.pool] / EmptyingPoolDivisor);
+        const bool fitsIntoPool = isCounted || emptyingInPool < maxEmptyingInPool;
         // An instance that is given up halfway gets its tasks back, which are then stopped once more.
-        if (isEmptying(*view) || (emptying.size() + out < targetCount && emptyingInPool < maxEmptyingInPool)) {
-            ++emptyingInPool;
+        if (isEmptying(*view) || (emptying.size() + out < targetCount && fitsIntoPool)) {
+            emptyingInPool += isCounted ? 0 : 1;
             emptying.insert(id);
             decision.cordon.push_back(id);
             if (view->longRunningRuns > 0) {
@@ -156,7 +182,8 @@
             }
         }
     }
-    m_emptying = std::move(emptying);
+    m_emptying = emptying;
+    decision.emptying = std::move(emptying);
     return decision;
 }
 
--- a/libs/scheduling/tests/waveplantest.cpp
+++ b/libs/scheduling/tests/waveplantest.cpp
@@ -111,3 +111,44 @@
     next.restore(wave.record());
     BOOST_TEST(next.decide(instances, {}, Start + 5000ms).completed);
 }
+
+// Guards against two waves that each empty as many instances of a pool as one may.
+BOOST_AUTO_TEST_CASE(wavesShareTheLimitOfInstancesThatAreEmptied)
+{
+    auto instances = makeInstances({{"pool", 3}});
+    for (auto &[id, view] : instances) {
+        view.runs = 2;
+        view.longRunningRuns = 2;
+    }
+    WavePlan first({1, {"pool0"}, 26s, 1}, WaveTimes{}, Start);
+    WavePlan second({2, {"pool2"}, 26s, 1}, WaveTimes{}, Start);
+    WaveSurroundings surroundings;
+    surroundings.emptying = first.decide(instances, surroundings, Start).emptying;
+    BOOST_TEST(surroundings.emptying.count("pool0") == 1U);
+    BOOST_TEST(second.decide(instances, surroundings, Start).emptying.empty());
+    BOOST_TEST(first.decide(instances, surroundings, Start + 100ms).emptying.count("pool0") == 1U);
+}
+
+// Guards against a long-running task that waits for good for a worker which is being emptied.
+BOOST_AUTO_TEST_CASE(emptyingPausesForATaskThatWaits)
+{
+    auto instances = makeInstances({{"pool", 9}});
+    for (auto &[id, view] : instances) {
+        view.runs = 2;
+        view.longRunningRuns = 2;
+    }
+    instances.at("pool1").isBeingEmptied = true;
+    instances.at("pool2").longRunningRuns = 0;
+    WavePlan wave({1, {"pool0", "pool1", "pool2"}, 8s, 3}, WaveTimes{}, Start);
+    BOOST_TEST(wave.decide(instances, {}, Start).emptying.size() == 3U);
+    WaveSurroundings surroundings;
+    surroundings.displaced["pool"] = DisplacedWait::Long;
+    BOOST_TEST(wave.decide(instances, surroundings, Start).emptying == (std::set<InstanceId>{"pool1", "pool2"}), boost::test_tools::per_element());
+    surroundings.displaced["pool"] = DisplacedWait::TooLong;
+    BOOST_TEST(wave.decide(instances, surroundings, Start).emptying == std::set<InstanceId>{"pool1"}, boost::test_tools::per_element());
+    // Afterwards only one is emptied at a time.
+    surroundings.displaced.clear();
+    surroundings.crowded = {"pool"};
+    surroundings.emptying = {"pool1"};
+    BOOST_TEST(wave.decide(instances, surroundings, Start).emptying == std::set<InstanceId>{"pool1"}, boost::test_tools::per_element());
+}
