Run the handlers of pending calls when an HTTP client is destroyed

Cause: the connections of such a worker are replaced, and ~HttpClient dropped the handlers of its pending and queued calls, although WorkerPort promises that each runs once. WorkerSession then waited for good for the answer to a renewal and sent no other; start orders kept their runs.

Evidence: with a server that does not answer, the handlers of renewLease and start did not run once the address had changed. Ruled out: a new address that is not used (start orders arrive there) and refused tokens (no renewal arrives).

Change: the client resets its connections and posts the handlers with NoAnswer or NotSent. That holds for every port that is built on it, and for the connections of workers that are forgotten.

--- a/libs/httpio/include/httpio/httpclient.h
+++ b/libs/httpio/include/httpio/httpclient.h
@@ -55,8 +55,8 @@
  * and 8 MiB of body; a larger or malformed one fails the call with CallFailure::NoAnswer.
  *
  * Not thread-safe: used on the thread of its io_context only, on which handlers run too. A handler
- * runs once, never inside call(). When the client is destroyed, pending calls are dropped without
- * running their handlers.
+ * runs once, never inside call(). When the client is destroyed, its connections are reset and the handlers of pending calls
+ * run later with a failure, as far as the io_context still runs.
  *
  * @code
  * HttpClient client(io, address, 4);
--- a/libs/httpio/src/httpclient.cpp
+++ b/libs/httpio/src/httpclient.cpp
@@ -9,7 +9,9 @@
 
 #include <array>
 #include <deque>
+#include <optional>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 namespace Cornelquay {
@@ -112,6 +114,20 @@
         m_socket.close(ignored);
     }
 
+    /** Closes the connection. Returns the handler of its call and the result of that call, if it has one. */
+    std::optional<std::pair<HttpClient::Handler, CallFailure>> abandon()
+    {
+        const bool hadCall = m_hasCall;
+        close();
+        m_hasCall = false;
+        HttpClient::Handler handler = std::move(m_call.handler);
+        m_call = {};
+        if (!hadCall) {
+            return std::nullopt;
+        }
+        return std::pair(std::move(handler), m_writeStarted ? CallFailure::NoAnswer : CallFailure::NotSent);
+    }
+
     bool isClosed() const
     {
         return m_closed;
@@ -351,13 +367,27 @@
 HttpClient::~HttpClient()
 {
     m_impl->closed = true;
-    m_impl->queue.clear();
     m_impl->queueTimer.cancel();
+    std::vector<std::pair<Handler, CallFailure>> pending;
     for (const auto &connection : m_impl->openConnections) {
-        connection->close();
+        if (auto call = connection->abandon()) {
+            pending.push_back(std::move(*call));
+        }
+    }
+    for (Impl::PendingCall &queued : m_impl->queue) {
+        pending.emplace_back(std::move(queued.handler), CallFailure::NotSent);
     }
+    m_impl->queue.clear();
     m_impl->openConnections.clear();
     m_impl->idleConnections.clear();
+    if (!pending.empty()) {
+        // Deferred, because a handler may use the object that destroys the client.
+        asio::post(m_impl->io, [pending = std::move(pending)] {
+            for (const auto &[handler, failure] : pending) {
+                handler(tl::make_unexpected(failure));
+            }
+        });
+    }
 }
 
 void HttpClient::call(HttpCall call, Handler handler)
--- a/libs/httpio/tests/httpiotest.cpp
+++ b/libs/httpio/tests/httpiotest.cpp
@@ -207,6 +207,37 @@
     BOOST_TEST((received == std::vector<std::string>{"/first", "/allowed"}));
 }
 
+// Guards against a caller that waits for good for the result of a call, because the client is gone.
+BOOST_AUTO_TEST_CASE(callsOfADestroyedClientFail)
+{
+    asio::io_context io;
+    std::vector<HttpServer::Responder> unanswered;
+    HttpServer server(io, AnyPort, {}, [&](const HttpRequest &, const HttpServer::Responder &respond) {
+        unanswered.push_back(respond);
+    });
+    auto client = std::make_unique<HttpClient>(io, Address{"127.0.0.1", server.port()}, 1);
+    std::vector<CallFailure> failures;
+    const auto call = [&](const std::string &target) {
+        client->call({makeRequest(target), steadyNow() + 10s}, [&](const CallResult &result) {
+            failures.push_back(result.error());
+        });
+    };
+    call("/sent");
+    call("/queued");
+    runUntil(io, [&] {
+        return unanswered.size() == 1;
+    });
+    client.reset();
+    BOOST_TEST(failures.empty());
+    runUntil(io, [&] {
+        return failures.size() == 2;
+    });
+    BOOST_TEST((failures == std::vector<CallFailure>{CallFailure::NoAnswer, CallFailure::NotSent}));
+    io.restart();
+    io.run_for(50ms);
+    BOOST_TEST(failures.size() == 2U);
+}
+
 // Guards against a busy client that gives up calls only because others went before them.
 BOOST_AUTO_TEST_CASE(theTimeInTheQueueDoesNotCountTowardsTheAnswerTimeout)
 {
