Say that a job is unknown only as the confirmed owner

Cause: calls about a job that the owner does not know were answered from memory without a check of the ownership. A node that had been frozen for 4 s did so before it learned of the later owner that had accepted the job.

Ruled out: a job that the new owner lost (a GET there gives its state), and a forwarded call.

Change: such a call is answered with 410 once a store call that was sent after it arrived confirms the ownership, within a heartbeat. Without permission to act, or when the ownership ends, it is refused with 503 and a time to come back.

Test: aJobIsSaidToBeUnknownOnlyByAConfirmedOwner; four checks fail on the former code.

--- a/libs/jobnode/src/details/jobownerimpl.h
+++ b/libs/jobnode/src/details/jobownerimpl.h
@@ -24,6 +24,8 @@
 // duration of one store call.
 constexpr std::chrono::milliseconds MinBatchInterval{8};
 constexpr std::chrono::milliseconds StoreRetryDelay{60};
+// When a caller may try again that was refused because the owner changes.
+constexpr std::int64_t TakeoverRetryAfterMs = 300;
 // Key prefix of the records of waves, which are stored beside those of jobs. Names of jobs contain no slash.
 constexpr const char *WaveKeyPrefix = "wave/";
 // Key of the record that shows whether the store accepts other records than one that it has refused.
@@ -48,6 +50,13 @@
     JobOwner::Responder respond;
 };
 
+/** A call about a job that this owner does not know. Another owner may know it, unless the ownership is confirmed after the call arrived. */
+struct UnconfirmedCall {
+    BootTime arrivedAt{};
+    JobCall call;
+    JobOwner::Responder respond;
+};
+
 /** Consecutive failed calls to the partition of the jobs. */
 struct StoreFailureCounts {
     int refused = 0;
@@ -194,6 +203,8 @@
     /** Keys that the new partition had before the move; the first batch removes those that it does not replace. */
     std::set<std::string> staleKeys;
     std::deque<PendingAnswer> pendingAnswers;
+    /** In the order of their arrival. */
+    std::deque<UnconfirmedCall> unconfirmedCalls;
     std::size_t restoredJobs = 0;
     /** Waves that were added before the takeover was completed, and when each was first seen. */
     std::vector<std::pair<WaveSpec, BootTime>> waves;
@@ -257,6 +268,9 @@
     // Calls.
     void handle(const JobCall &call, const Responder &respond);
     void submit(const JobCall &call, const Responder &respond);
+    /** Responds that the job is unknown once a store call that is sent from now on confirms the ownership, and refuses the call otherwise. */
+    void answerUnknownOnceConfirmed(const JobCall &call, const Responder &respond);
+    void answerUnconfirmedCalls(BootTime now);
     /** Why a new job is not even considered for admission; std::nullopt if it is. */
     std::optional<JobAnswer> refusalFor(const JobRecord &record, BootTime now) const;
     void explain(const JobCall &call, const Responder &respond);
--- a/libs/jobnode/src/jobowner.cpp
+++ b/libs/jobnode/src/jobowner.cpp
@@ -168,6 +168,9 @@
     for (const PendingAnswer &waiting : std::exchange(pendingAnswers, {})) {
         waiting.respond(JobAnswer::unknown("the owner of the jobs changed"));
     }
+    for (const UnconfirmedCall &waiting : std::exchange(unconfirmedCalls, {})) {
+        waiting.respond(JobAnswer::notRun("the owner of the jobs changed", TakeoverRetryAfterMs));
+    }
     if (const auto drained = std::exchange(onDrained, nullptr)) {
         drained();
     }
--- a/libs/jobnode/src/jobownercalls.cpp
+++ b/libs/jobnode/src/jobownercalls.cpp
@@ -13,7 +13,6 @@
 // The store counts as unavailable, and new jobs are refused, while a batch waits for longer than this.
 constexpr auto StoreUnavailableTimeout = 700ms;
 constexpr std::int64_t StoreUnavailableRetryAfterMs = 1000;
-constexpr std::int64_t TakeoverRetryAfterMs = 300;
 constexpr std::int64_t ConfigurationRetryAfterMs = 300;
 // Time for the answer to reach the caller through the node that forwarded the call.
 constexpr std::int64_t AnswerMarginMs = 150;
@@ -99,14 +98,18 @@
         if (outcome.known) {
             answerOnceStored(outcome.batch, call, JobAnswer::of(JobAnswerKind::Done), respond);
         } else {
-            respond(JobAnswer::of(JobAnswerKind::UnknownJob));
+            answerUnknownOnceConfirmed(call, respond);
         }
         break;
     }
     case JobCallKind::State: {
         const std::optional<JobState> state = scheduler.stateOf(call.job);
-        JobAnswer answer = JobAnswer::of(state ? JobAnswerKind::State : JobAnswerKind::UnknownJob);
-        answer.state = state.value_or(JobState::Queued);
+        if (!state) {
+            answerUnknownOnceConfirmed(call, respond);
+            break;
+        }
+        JobAnswer answer = JobAnswer::of(JobAnswerKind::State);
+        answer.state = *state;
         respond(std::move(answer));
         break;
     }
@@ -126,6 +129,35 @@
     schedulePump();
 }
 
+void JobOwner::Impl::answerUnknownOnceConfirmed(const JobCall &call, const Responder &respond)
+{
+    unconfirmedCalls.push_back({BootClock::now(), call, respond});
+}
+
+void JobOwner::Impl::answerUnconfirmedCalls(BootTime now)
+{
+    while (!unconfirmedCalls.empty()) {
+        const bool isConfirmed = permission->confirmedAt() > unconfirmedCalls.front().arrivedAt;
+        if (!isConfirmed && permission->allows(OwnerAction::OrderWorkers, now)) {
+            return;
+        }
+        const UnconfirmedCall waiting = std::move(unconfirmedCalls.front());
+        unconfirmedCalls.pop_front();
+        const bool isKnown
+            = waiting.call.kind == JobCallKind::Cancel ? scheduler.findJob(waiting.call.job) != nullptr : scheduler.stateOf(waiting.call.job).has_value();
+        if (isKnown) {
+            handle(waiting.call, waiting.respond);
+        } else if (isConfirmed) {
+            waiting.respond(JobAnswer::of(JobAnswerKind::UnknownJob));
+        } else {
+            logChange("owner",
+                      "job not known, ownership not confirmed",
+                      {{"job", waiting.call.job}, {"store-contact-age-ms", std::to_string(ageMs(permission->confirmedAt(), now))}});
+            waiting.respond(JobAnswer::notRun("the owner of the jobs may have changed", TakeoverRetryAfterMs));
+        }
+    }
+}
+
 void JobOwner::Impl::submit(const JobCall &call, const Responder &respond)
 {
     const BootTime now = BootClock::now();
--- a/libs/jobnode/src/jobownerwork.cpp
+++ b/libs/jobnode/src/jobownerwork.cpp
@@ -60,6 +60,7 @@
     logEvents();
     demandHistory.report();
     expireAnswers();
+    answerUnconfirmedCalls(now);
     if (now - metricsUpdatedAt > 1s) {
         metricsUpdatedAt = now;
         logPools(now);
--- a/libs/jobnode/tests/jobnodetest.cpp
+++ b/libs/jobnode/tests/jobnodetest.cpp
@@ -218,6 +218,24 @@
     BOOST_TEST((fleet.call(owner, JobCallKind::State, refused).kind == JobAnswerKind::UnknownJob));
 }
 
+// Guards against a former owner, for instance one that was frozen, that answers from its old state that a job is unknown.
+BOOST_AUTO_TEST_CASE(aJobIsSaidToBeUnknownOnlyByAConfirmedOwner)
+{
+    NodeFixture fleet(1);
+    JobNode &owner = fleet.owner();
+    fleet.callUntil(owner, JobCallKind::Submit, "0000000000000001", JobAnswerKind::Done);
+    for (const JobCallKind kind : {JobCallKind::Cancel, JobCallKind::State}) {
+        BOOST_TEST((fleet.call(owner, kind, "0000000000000009").kind == JobAnswerKind::UnknownJob));
+        // The first call arrives while the ownership still seems to be in force, the second one later.
+        fleet.platform.isUnavailable = true;
+        BOOST_TEST((fleet.call(owner, kind, "0000000000000009").kind == JobAnswerKind::NotRun));
+        BOOST_TEST((fleet.call(owner, kind, "0000000000000009").kind == JobAnswerKind::NotRun));
+        BOOST_TEST((fleet.call(owner, JobCallKind::State, "0000000000000001").kind == JobAnswerKind::State));
+        fleet.platform.isUnavailable = false;
+        fleet.callUntil(owner, kind, "0000000000000009", JobAnswerKind::UnknownJob);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(allNodesQueryTheAdviceService)
 {
     NodeFixture fleet(3);
