Hide jobs from calls of other client accounts

What callers saw: a call with any known key, and any call on a public route, read the state of each job and cancelled it, whatever its account (seen by the review, not tried there).

Cause: the owner looked at the id of the job alone.

If the job or the call has no account, as on public routes, the queue has to be the same.

--- a/libs/jobnode/src/details/jobownerimpl.h
+++ b/libs/jobnode/src/details/jobownerimpl.h
@@ -268,6 +268,10 @@
     // Calls.
     void handle(const JobCall &call, const Responder &respond);
     void submit(const JobCall &call, const Responder &respond);
+    /** Whether the job of the call belongs to another client account, so that it does not exist for this call. */
+    bool isOfOtherAccount(const JobCall &call) const;
+    /** The state of the job of the call; std::nullopt if it is not stored or does not exist for this call. */
+    std::optional<JobState> stateFor(const JobCall &call) const;
     /** Responds that the job is unknown once a store call that is sent from now on confirms the ownership, and refuses the call otherwise. */
     void answerUnknownOnceConfirmed(const JobCall &call, const Responder &respond);
     void answerUnconfirmedCalls(BootTime now);
--- a/libs/jobnode/src/jobownercalls.cpp
+++ b/libs/jobnode/src/jobownercalls.cpp
@@ -14,6 +14,8 @@
 constexpr auto StoreUnavailableTimeout = 700ms;
 constexpr std::int64_t StoreUnavailableRetryAfterMs = 1000;
 constexpr std::int64_t ConfigurationRetryAfterMs = 300;
+// The id is free again once the other account's job is closed and forgotten, which takes minutes.
+constexpr std::int64_t IdInUseRetryAfterMs = 60000;
 // Time for the answer to reach the caller through the node that forwarded the call.
 constexpr std::int64_t AnswerMarginMs = 150;
 // Minimum time that a call waits for its batch: several times the usual duration of a batch.
@@ -94,7 +96,7 @@
         submit(call, respond);
         break;
     case JobCallKind::Cancel: {
-        const CancelOutcome outcome = scheduler.cancel(call.job, toUnixMilliseconds(wallNow()));
+        const CancelOutcome outcome = isOfOtherAccount(call) ? CancelOutcome{} : scheduler.cancel(call.job, toUnixMilliseconds(wallNow()));
         if (outcome.known) {
             answerOnceStored(outcome.batch, call, JobAnswer::of(JobAnswerKind::Done), respond);
         } else {
@@ -103,7 +105,7 @@
         break;
     }
     case JobCallKind::State: {
-        const std::optional<JobState> state = scheduler.stateOf(call.job);
+        const std::optional<JobState> state = stateFor(call);
         if (!state) {
             answerUnknownOnceConfirmed(call, respond);
             break;
@@ -129,6 +131,22 @@
     schedulePump();
 }
 
+bool JobOwner::Impl::isOfOtherAccount(const JobCall &call) const
+{
+    const JobRecord *job = scheduler.findJob(call.job);
+    if (job == nullptr || job->account == call.account) {
+        return false;
+    }
+    // The route may be public now or when the job was submitted, so one of the calls had no account.
+    const bool isAnonymous = job->account.empty() || call.account.empty();
+    return !isAnonymous || job->queue != call.queue;
+}
+
+std::optional<JobState> JobOwner::Impl::stateFor(const JobCall &call) const
+{
+    return isOfOtherAccount(call) ? std::nullopt : scheduler.stateOf(call.job);
+}
+
 void JobOwner::Impl::answerUnknownOnceConfirmed(const JobCall &call, const Responder &respond)
 {
     unconfirmedCalls.push_back({BootClock::now(), call, respond});
@@ -143,8 +161,8 @@
         }
         const UnconfirmedCall waiting = std::move(unconfirmedCalls.front());
         unconfirmedCalls.pop_front();
-        const bool isKnown
-            = waiting.call.kind == JobCallKind::Cancel ? scheduler.findJob(waiting.call.job) != nullptr : scheduler.stateOf(waiting.call.job).has_value();
+        const bool isCancellable = scheduler.findJob(waiting.call.job) != nullptr && !isOfOtherAccount(waiting.call);
+        const bool isKnown = waiting.call.kind == JobCallKind::Cancel ? isCancellable : stateFor(waiting.call).has_value();
         if (isKnown) {
             handle(waiting.call, waiting.respond);
         } else if (isConfirmed) {
@@ -161,6 +179,10 @@
 void JobOwner::Impl::submit(const JobCall &call, const Responder &respond)
 {
     const BootTime now = BootClock::now();
+    if (isOfOtherAccount(call)) {
+        respond(JobAnswer::notRun("the id is in use", IdInUseRetryAfterMs));
+        return;
+    }
     if (scheduler.findJob(call.job) == nullptr) {
         const auto queue = policy->queues.find(call.queue);
         if (queue == policy->queues.end()) {
--- a/libs/jobnode/tests/jobnodetest.cpp
+++ b/libs/jobnode/tests/jobnodetest.cpp
@@ -236,6 +236,29 @@
     }
 }
 
+// Guards against a client account that reads or cancels the jobs of another one.
+BOOST_AUTO_TEST_CASE(jobsOfOtherAccountsDoNotExistForACaller)
+{
+    NodeFixture fleet(1);
+    fleet.platform.tasksEndAtOnce = false;
+    JobNode &owner = fleet.owner();
+    fleet.account = "a";
+    fleet.callUntil(owner, JobCallKind::Submit, "0000000000000001", JobAnswerKind::Done);
+    fleet.awaitState(owner, "0000000000000001", JobState::Running);
+    fleet.account = "b";
+    BOOST_TEST((fleet.call(owner, JobCallKind::State, "0000000000000001").kind == JobAnswerKind::UnknownJob));
+    BOOST_TEST((fleet.call(owner, JobCallKind::Cancel, "0000000000000001").kind == JobAnswerKind::UnknownJob));
+    BOOST_TEST((fleet.call(owner, JobCallKind::Submit, "0000000000000001").kind == JobAnswerKind::NotRun));
+    fleet.account = "a";
+    fleet.awaitState(owner, "0000000000000001", JobState::Running);
+    // The route of the job's queue has become public, so that its calls have no account.
+    fleet.account.clear();
+    BOOST_TEST((fleet.call(owner, JobCallKind::State, "0000000000000001").kind == JobAnswerKind::State));
+    fleet.account = "a";
+    BOOST_TEST((fleet.call(owner, JobCallKind::Cancel, "0000000000000001").kind == JobAnswerKind::Done));
+    fleet.awaitState(owner, "0000000000000001", JobState::Cancelled);
+}
+
 BOOST_AUTO_TEST_CASE(allNodesQueryTheAdviceService)
 {
     NodeFixture fleet(3);
--- a/libs/jobnode/tests/nodefleet.h
+++ b/libs/jobnode/tests/nodefleet.h
@@ -568,6 +568,7 @@
         JobCall call;
         call.kind = kind;
         call.queue = "queue";
+        call.account = account;
         call.job = job;
         call.deadlineMs = toUnixMilliseconds(wallNow()) + 4000;
         StepSpec step;
@@ -626,6 +627,8 @@
     /** Of the jobs that call() submits. */
     std::int64_t estimateMs = 100;
     std::uint32_t taskCount = 2;
+    /** The client account of the calls that call() sends; empty for calls on a public route. */
+    std::string account;
     std::shared_ptr<NodeConfiguration> configuration;
     std::vector<std::unique_ptr<JobNode>> nodes;
 };
