--- a/libs/jobnode/include/jobnode/fleetcontroller.h
+++ b/libs/jobnode/include/jobnode/fleetcontroller.h
@@ -85,7 +85,7 @@
     std::map<InstanceId, InstanceView> viewInstances(BootTime now) const;
     bool mayOrder(const InstanceFacts &facts, BootTime now) const;
     void decideWaves(const std::map<InstanceId, InstanceView> &views, BootTime now);
-    /** Also decides in which pools emptying pauses. */
+    /** Collects what the waves need to know of each other and of the pools. Begins or prolongs the pauses of emptying. */
     WaveSurroundings surroundingsOfWaves(const std::map<InstanceId, InstanceView> &views, BootTime now);
     /** Logs the instances whose long-running tasks the wave moves, with the number of these tasks, if they have changed. */
     void logEmptying(std::uint64_t wave, const WaveDecision &decision, const std::map<InstanceId, InstanceView> &views);
--- a/libs/jobnode/tests/recordlimittest.cpp
+++ b/libs/jobnode/tests/recordlimittest.cpp
@@ -33,7 +33,7 @@
     });
     fleet.awaitState(second, FirstJob, JobState::Running);
     BOOST_TEST(fleet.platform.starts == starts);
-    // The closed job needs as many records, and keeps none but these.
+    // The successor replaces a value that its predecessor stored in several records.
     fleet.callUntil(second, JobCallKind::Cancel, FirstJob, JobAnswerKind::Done);
     fleet.awaitState(second, SecondJob, JobState::Running);
 }
--- a/libs/jobnode/tests/wavefleettest.cpp
+++ b/libs/jobnode/tests/wavefleettest.cpp
@@ -265,6 +265,7 @@
             for (const auto &fleet : fleets) {
                 fleet->advance();
             }
+            // Only paces the loop: the controller decides every 100 ms.
             std::this_thread::sleep_for(5ms);
         }
     };
--- a/libs/scheduling/include/scheduling/waveplan.h
+++ b/libs/scheduling/include/scheduling/waveplan.h
@@ -39,9 +39,9 @@
 
 /** For how long a long-running task without a worker has waited, although an instance that is being emptied has room for it. */
 enum class DisplacedWait : std::uint8_t {
-    /** It is time to give it a worker that still has long-running tasks of its own to lose. */
+    /** Instances that still have long-running tasks are given up for it. */
     Long,
-    /** It is time to give it any worker. */
+    /** Instances without long-running tasks are given up for it too. */
     TooLong,
 };
 
--- a/libs/scheduling/src/details/schedulerimpl.h
+++ b/libs/scheduling/src/details/schedulerimpl.h
@@ -238,7 +238,7 @@
     std::int64_t waitingJobCount = 0;
     std::uint64_t placementPasses = 0;
     std::map<TaskName, UnplacedTask> unplacedLongRunning;
-    /** Of the latest call of advance(). */
+    /** The wall-clock time of the latest call of advance(). */
     std::int64_t lastWallMs = 0;
     BootTime lastHousekeepingAt{};
     BootTime lastDropAt{};
