Ask for more tasks in the case on kept workers, and end a script's processes on SIGTERM

Cause: with five tasks the case left one or two of them without a worker, and a SIGTERM left two nodes of a script running. Adds eight tasks, the width that the site allows, a handler that ends the case as a time-out does, and what the next case asks the stand-ins.

--- a/review/8/run.py
+++ b/review/8/run.py
@@ -17,7 +17,7 @@
 # A task that lasts has to run 6 s after its last run, with 3 s and the 4 s before them calm.
 AFTER_S = 14
 NEEDS_KIND = {"count": 1, "cpu": 2000, "mem_mb": 500, "est_runtime_ms": 3000, "required_label": "b"}
-LASTING_TASKS = 5
+LASTING_TASKS = 8
 LASTS = {"count": LASTING_TASKS, "cpu": 1300, "mem_mb": 3400, "est_runtime_ms": 700, "long_running": True, "max_per_server": 1, "may_miss": 1}
 SMALL = {"count": 2, "cpu": 900, "mem_mb": 1300, "est_runtime_ms": 640}
 
--- a/review/standin-2/standin.py
+++ b/review/standin-2/standin.py
@@ -519,6 +519,11 @@
             self.process.kill()
             await self.process.wait()
 
+    def end(self):
+        """Sends SIGKILL without waiting for the end, so that nothing can keep it from being sent."""
+        if self.process and self.process.returncode is None:
+            self.process.kill()
+
     async def terminate(self):
         self._record.write("node", self.name, "SIGTERM")
         self.process.terminate()
@@ -614,6 +619,15 @@
             await asyncio.sleep(0.1)
         return False
 
+    def waiting(self, jobs):
+        """The jobs, of one task each, that neither run nor are done."""
+        running = {task for worker in self.workers for task in worker.tasks()}
+        return [job for job in jobs if f"{job}.0.0.0" not in running | self.observations.done]
+
+    def used_cpu(self, demand):
+        """The cpu that all running tasks ask for, if each asks for demand."""
+        return sum(demand for worker in self.workers for _ in worker.tasks())
+
     def record_use(self):
         """Writes down what each worker runs."""
         for worker in self.workers:
@@ -637,6 +651,8 @@
         return None
 
     async def stop(self):
+        for node in self.nodes:
+            node.end()
         for node in self.nodes:
             await node.kill()
         for worker in self.workers:
@@ -654,15 +670,16 @@
     keep = os.environ.get("KEEP_LOGS")
 
     async def limited():
+        # A SIGTERM ends the case as a time-out does: its processes are ended, and it exits with 2.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         return await asyncio.wait_for(case(folder, repository, record, trouble), seconds)
 
     with contextlib.ExitStack() as stack:
         folder = keep or stack.enter_context(tempfile.TemporaryDirectory())
         os.makedirs(folder, exist_ok=True)
-        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         try:
             code = asyncio.run(limited())
-        except Exception as error:  # any failure of the stand-ins means that the case could not run
+        except (Exception, asyncio.CancelledError) as error:  # any failure of the stand-ins means that the case could not run
             record.write("could not run:", repr(error))
             code = 2
     record.write("exit", code)
