Give each move of the jobs an epoch of its own

Cause: the store keeps the sequence of a producer's epoch for each partition. After each move the owner began at number 1 under the epoch of its ownership. Back in the partition in which it began, its batches had numbers that it had used there; the store took them for repeats and answered without storing them.

Evidence: new partition fenced at offset 2, then batch stored in the new partition with sequence 1 and offset 0 (both lines are new; serving now names the partition). Ruled out: a successor that reads another partition than the one written (serving names the same), and records that are stored and then dropped as stale (the offset would not be below that of the fence).

Change: a move takes as its epoch the end of the ownership log after the owner's newest acknowledged record. It rises with each move, since a move needs a record that was stored after the one before, and stays below the epoch of any later owner, whose claim is a later record. Late appends of a former stay are refused as well.

--- a/libs/jobnode/include/jobnode/jobowner.h
+++ b/libs/jobnode/include/jobnode/jobowner.h
@@ -28,7 +28,7 @@
     InstanceTimes instanceTimes;
     /**
      * Requests that a heartbeat be written at once, with the present ownership record. Whoever writes it reports the stored
-     * record through notePublishedUnreachable(), noteStoreContact() and notePublishedPartition().
+     * record through notePublishedUnreachable(), noteStoreContact(), noteRecordStored() and notePublishedPartition().
      */
     std::function<void()> publishRecord;
 };
@@ -89,6 +89,8 @@
     void notePublishedPartition(StorePartition partition);
     /** An append to the ownership log that was sent at @p sentAt, or later, is known to be stored; see OwnerPermission. */
     void noteStoreContact(BootTime sentAt);
+    /** A record of this ownership was appended to the ownership log, which ended at @p endOffset after it. */
+    void noteRecordStored(std::uint64_t endOffset);
     /** Carries out @p call and calls @p respond once, possibly before it returns; answers NotRun while it is not serving or drains. */
     void handle(const JobCall &call, const Responder &respond);
 
--- a/libs/jobnode/include/jobnode/ports.h
+++ b/libs/jobnode/include/jobnode/ports.h
@@ -107,8 +107,9 @@
     std::function<void(StorePartition partition, std::uint64_t epoch, OffsetHandler handler)> fenceJobs;
     /**
      * Atomically stores @p records, which are pairs of a key and its bytes, and removes the records with the keys in
-     * @p dropped. Keys are those of jobs and of waves. @p sequence starts at 1 after a fence and rises
-     * by one with each call for the partition; a repeat of the same call has no further effect.
+     * @p dropped. Keys are those of jobs and of waves. @p sequence starts at 1 after a fence with a higher epoch and rises by one
+     * with each call for the partition. A call that repeats a number of its epoch has no effect and gets the answer of the former one,
+     * whatever it contains. A fence with the same epoch changes nothing.
      */
     std::function<void(StorePartition partition,
                        std::uint64_t epoch,
--- a/libs/jobnode/src/details/jobownerimpl.h
+++ b/libs/jobnode/src/details/jobownerimpl.h
@@ -188,6 +188,13 @@
     BootTime drainDeadline{};
     BootTime lastBatchAt{};
     BootTime metricsUpdatedAt{};
+    /**
+     * Epoch of the calls for the partition, higher with each move. The store keeps the sequence of an epoch, so in a partition to which the
+     * jobs return it would take batches under the former epoch for repeats.
+     */
+    std::uint64_t partitionEpoch = epoch;
+    /** End of the ownership log after the newest record of this ownership that is known to be stored. Later owners have higher epochs. */
+    std::uint64_t ownRecordEnd = epoch;
     /** Number of the next call of storeJobs() for the partition, which is also that of its repeats. */
     std::uint64_t sequence = 1;
     /** The chunks of the current batch that are not stored yet, each small enough for one call. */
@@ -248,7 +255,7 @@
     void addChunks(RecordBatch batch);
     void sendChunk();
     void logNotStored(const RecordBatch &chunk, StoreFailure failure) const;
-    void onChunkStored();
+    void onChunkStored(std::uint64_t offset);
     /** Goes on after the first chunk, which was stored or given up. */
     void completeChunk();
     /** The store refused the first chunk for its content: finds the record at fault and gives it up. */
--- a/libs/jobnode/src/jobnodeownership.cpp
+++ b/libs/jobnode/src/jobnodeownership.cpp
@@ -322,6 +322,7 @@
         jobOwner->noteStoreContact(sentAt);
         unconfirmedSentAt.reset();
         confirmedEndOffset = *offset + 1;
+        jobOwner->noteRecordStored(confirmedEndOffset);
         jobOwner->notePublishedPartition(record.jobsPartition);
     } else if (!offset) {
         // A conflict alone does not end the ownership: the log may have grown by this node's own earlier record.
--- a/libs/jobnode/src/jobowner.cpp
+++ b/libs/jobnode/src/jobowner.cpp
@@ -30,7 +30,7 @@
 void JobOwner::Impl::fence()
 {
     const BootTime sentAt = BootClock::now();
-    context.store.fenceJobs(partition, epoch, [self = shared_from_this(), sentAt](const tl::expected<std::uint64_t, StoreFailure> &result) {
+    context.store.fenceJobs(partition, partitionEpoch, [self = shared_from_this(), sentAt](const tl::expected<std::uint64_t, StoreFailure> &result) {
         if (self->ended) {
             return;
         }
@@ -118,8 +118,12 @@
         fleetController->addWave(wave, seenAt);
     }
     serving = true;
-    logChange(
-        "owner", "serving", {{"epoch", std::to_string(epoch)}, {"jobs", std::to_string(restoredJobs)}, {"configuration", std::to_string(policy->version)}});
+    logChange("owner",
+              "serving",
+              {{"epoch", std::to_string(epoch)},
+               {"partition", std::to_string(partition)},
+               {"jobs", std::to_string(restoredJobs)},
+               {"configuration", std::to_string(policy->version)}});
     context.registry.watch([self = shared_from_this()](const std::vector<WorkerFacts> &seen, const std::vector<WorkerId> &removed) {
         if (self->ended) {
             return;
@@ -231,6 +235,11 @@
     m_impl->permission->confirm(sentAt);
 }
 
+void JobOwner::noteRecordStored(std::uint64_t endOffset)
+{
+    m_impl->ownRecordEnd = std::max(m_impl->ownRecordEnd, endOffset);
+}
+
 void JobOwner::handle(const JobCall &call, const Responder &respond)
 {
     m_impl->handle(call, respond);
--- a/libs/jobnode/src/jobownerstore.cpp
+++ b/libs/jobnode/src/jobownerstore.cpp
@@ -95,7 +95,7 @@
 {
     const BootTime sentAt = BootClock::now();
     const RecordBatch &chunk = chunks.front();
-    context.store.storeJobs(partition, epoch, sequence, chunk.records, chunk.dropped, [self = shared_from_this(), sentAt](const auto &result) {
+    context.store.storeJobs(partition, partitionEpoch, sequence, chunk.records, chunk.dropped, [self = shared_from_this(), sentAt](const auto &result) {
         if (self->ended) {
             return;
         }
@@ -105,7 +105,7 @@
                 self->permission->confirm(sentAt);
             }
             self->storeFailures = {};
-            self->onChunkStored();
+            self->onChunkStored(*result);
             return;
         }
         if (result.error() == StoreFailure::Fenced || result.error() == StoreFailure::Conflict) {
@@ -165,7 +165,7 @@
         return;
     }
     // If the store refuses another record too, the fault is not in this one.
-    context.store.storeJobs(partition, epoch, sequence, {{ProbeKey, "1"}}, {}, [self = shared_from_this(), sentAt](const auto &result) {
+    context.store.storeJobs(partition, partitionEpoch, sequence, {{ProbeKey, "1"}}, {}, [self = shared_from_this(), sentAt](const auto &result) {
         if (self->ended) {
             return;
         }
@@ -206,8 +206,17 @@
     completeChunk();
 }
 
-void JobOwner::Impl::onChunkStored()
+void JobOwner::Impl::onChunkStored(std::uint64_t offset)
 {
+    if (partition != publishedPartition) {
+        // An offset below that of the fence shows that the store took the call for a repeat of a former one.
+        logChange("owner",
+                  "batch stored in the new partition",
+                  {{"partition", std::to_string(partition)},
+                   {"sequence", std::to_string(sequence)},
+                   {"offset", std::to_string(offset)},
+                   {"records", std::to_string(chunks.front().records.size())}});
+    }
     ++sequence;
     completeChunk();
 }
@@ -269,11 +278,12 @@
 }
 
 // Requires that the ownership log has answered since the first failure: while the whole store is unavailable, a move
-// does not help.
+// does not help. A record that has been stored since the move before gives this one its epoch.
 bool JobOwner::Impl::mayMovePartition() const
 {
     const bool isPersistent = storeFailures.refused >= MaxRefusals || storeFailures.unanswered >= MaxUnanswered;
-    return serving && context.store.partitionCount > 1 && isPersistent && permission->confirmedAt() > storeFailures.firstSentAt;
+    const bool hasNewEpoch = ownRecordEnd > partitionEpoch;
+    return serving && context.store.partitionCount > 1 && isPersistent && hasNewEpoch && permission->confirmedAt() > storeFailures.firstSentAt;
 }
 
 void JobOwner::Impl::movePartition(std::string_view reason)
@@ -288,6 +298,7 @@
     chunks.clear();
     staleKeys.clear();
     recordParts.forget();
+    partitionEpoch = ownRecordEnd;
     sequence = 1;
     storeInFlight = true;
     hasAnnouncement = false;
@@ -301,11 +312,14 @@
 void JobOwner::Impl::fenceNewPartition()
 {
     const BootTime sentAt = BootClock::now();
-    context.store.fenceJobs(partition, epoch, [self = shared_from_this(), sentAt](const tl::expected<std::uint64_t, StoreFailure> &result) {
+    context.store.fenceJobs(partition, partitionEpoch, [self = shared_from_this(), sentAt](const tl::expected<std::uint64_t, StoreFailure> &result) {
         if (self->ended) {
             return;
         }
         if (result) {
+            logChange("owner",
+                      "new partition fenced",
+                      {{"partition", std::to_string(self->partition)}, {"epoch", std::to_string(self->partitionEpoch)}, {"offset", std::to_string(*result)}});
             self->readStaleKeys({});
         } else if (result.error() == StoreFailure::Fenced) {
             self->loseOwnership("fenced while the jobs moved to another partition");
--- a/libs/jobnode/tests/nodefleet.h
+++ b/libs/jobnode/tests/nodefleet.h
@@ -46,7 +46,8 @@
     struct Partition {
         std::map<std::string, std::string> jobs;
         std::uint64_t epoch = 0;
-        std::uint64_t sequence = 0;
+        /** Number of the latest batch of the epoch. A repeat of one of the last five has no effect; a gap is a conflict. */
+        std::optional<std::uint64_t> sequence;
         /** Calls to this partition are refused. */
         bool isUnavailable = false;
     };
@@ -190,8 +191,7 @@
                 } else if (epoch < partition.epoch) {
                     handler(tl::make_unexpected(StoreFailure::Fenced));
                 } else {
-                    partition.epoch = epoch;
-                    partition.sequence = 0;
+                    raiseEpoch(partition, epoch);
                     handler(0);
                 }
             });
@@ -222,6 +222,15 @@
         return port;
     }
 
+    /** The sequence begins anew with a higher epoch only. */
+    static void raiseEpoch(Partition &partition, std::uint64_t epoch)
+    {
+        if (epoch > partition.epoch) {
+            partition.epoch = epoch;
+            partition.sequence.reset();
+        }
+    }
+
     void store(Partition &partition,
                std::uint64_t epoch,
                std::uint64_t sequence,
@@ -237,6 +246,13 @@
             handler(tl::make_unexpected(StoreFailure::Fenced));
             return;
         }
+        raiseEpoch(partition, epoch);
+        constexpr std::uint64_t MaxRepeats = 5;
+        if (partition.sequence && sequence <= *partition.sequence && sequence + MaxRepeats > *partition.sequence) {
+            ++repeatedBatches;
+            handler(sequence);
+            return;
+        }
         const bool isInvalid = refusesAllAsInvalid || std::any_of(records.begin(), records.end(), [this](const auto &record) {
                                    return 1 + record.first.size() + record.second.size() > maxRecordBytes || invalidKeys.count(record.first) != 0;
                                });
@@ -244,12 +260,11 @@
             handler(tl::make_unexpected(StoreFailure::Invalid));
             return;
         }
-        if (sequence > partition.sequence + 1) {
+        if (partition.sequence && sequence != *partition.sequence + 1) {
             handler(tl::make_unexpected(StoreFailure::Conflict));
             return;
         }
-        repeatedBatches += sequence <= partition.sequence ? 1 : 0;
-        partition.sequence = std::max(partition.sequence, sequence);
+        partition.sequence = sequence;
         for (const auto &[key, bytes] : records) {
             partition.jobs[key] = bytes;
             if (onStored) {
--- a/libs/jobnode/tests/partitiontest.cpp
+++ b/libs/jobnode/tests/partitiontest.cpp
@@ -48,6 +48,45 @@
     BOOST_TEST(fleet.platform.starts == 4);
 }
 
+// Guards against jobs that are acknowledged and not stored: batches in a partition to which the jobs return counted as repeats of former ones.
+BOOST_AUTO_TEST_CASE(jobsAreStoredInAPartitionToWhichTheyReturn)
+{
+    NodeFixture fleet(2);
+    fleet.platform.tasksEndAtOnce = false;
+    JobNode &first = fleet.owner();
+    JobNode &second = fleet.nonOwner();
+    std::vector<std::string> jobs;
+    const auto submit = [&] {
+        jobs.push_back("000000000000000" + std::to_string(jobs.size() + 1));
+        fleet.callUntil(first, JobCallKind::Submit, jobs.back(), JobAnswerKind::Done);
+    };
+    submit();
+    const std::uint64_t formerEpoch = fleet.platform.partitions[0].epoch;
+    for (std::size_t outage = 0; outage < fleet.platform.partitions.size(); ++outage) {
+        fleet.platform.partitions[outage].isUnavailable = true;
+        submit();
+        fleet.platform.partitions[outage].isUnavailable = false;
+    }
+    BOOST_TEST(fleet.platform.ownership.back().jobsPartition == 0U);
+    BOOST_TEST(fleet.platform.repeatedBatches == 0);
+    for (const std::string &job : jobs) {
+        BOOST_TEST(fleet.platform.partitions[0].jobs.count(job) == 1U);
+    }
+    // A batch of the former stay that arrives now must have no effect.
+    std::optional<StoreFailure> failure;
+    fleet.platform.store(fleet.platform.partitions[0], formerEpoch, *fleet.platform.partitions[0].sequence + 1, {}, {jobs.front()}, [&](const auto &result) {
+        failure = result ? std::nullopt : std::optional(result.error());
+    });
+    BOOST_TEST((failure == StoreFailure::Fenced));
+    fleet.platform.nodesWithoutStore.insert("node-0");
+    fleet.runUntil([&] {
+        return second.isOwner();
+    });
+    for (const std::string &job : jobs) {
+        fleet.awaitState(second, job, JobState::Running);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(anUnfinishedMoveLeavesTheFormerPartitionInForce)
 {
     NodeFixture fleet(2);
