Keep the number of an unanswered probe for the probe

What callers would see: a job is acknowledged although its record was refused by the store and is not stored.

Cause: after a refusal that blames the call, the owner sends a probe under the number of the refused call. If the answer to the probe was lost, it sent the record again under that number, and a store that had taken the probe answers that as a repeat: the record counted as stored.

Evidence: the test.

Change: a probe that was not answered is repeated until it is answered or the jobs move. The new line "probe not stored" says what is sent next.

--- a/libs/jobnode/src/details/jobownerimpl.h
+++ b/libs/jobnode/src/details/jobownerimpl.h
@@ -259,7 +259,9 @@
     /** Goes on after the first chunk, which was stored or given up. */
     void completeChunk();
     /** The store refused the first chunk for its content: finds the record at fault and gives it up. */
-    void handleInvalidChunk(BootTime sentAt);
+    void handleInvalidChunk();
+    /** Sends a record that is not at fault under the number of the first chunk; @p mayBeStored if an earlier probe under it may be stored. */
+    void sendProbe(bool mayBeStored);
     void giveUpChunk();
     void onBatchStored(std::uint64_t batch);
     /** Counts the failure, then calls @p retryAction after a delay or moves the jobs to another partition. */
--- a/libs/jobnode/src/jobownerstore.cpp
+++ b/libs/jobnode/src/jobownerstore.cpp
@@ -114,7 +114,7 @@
         }
         self->logNotStored(self->chunks.front(), result.error());
         if (result.error() == StoreFailure::Invalid) {
-            self->handleInvalidChunk(sentAt);
+            self->handleInvalidChunk();
             return;
         }
         self->noteStoreFailure(result.error(), sentAt, [self] {
@@ -144,7 +144,7 @@
                {"largest-bytes", std::to_string(largest.second)}});
 }
 
-void JobOwner::Impl::handleInvalidChunk(BootTime sentAt)
+void JobOwner::Impl::handleInvalidChunk()
 {
     RecordBatch &chunk = chunks.front();
     // The first value of the second half begins at the first record that is not a part.
@@ -164,21 +164,41 @@
         sendChunk();
         return;
     }
-    // If the store refuses another record too, the fault is not in this one.
-    context.store.storeJobs(partition, partitionEpoch, sequence, {{ProbeKey, "1"}}, {}, [self = shared_from_this(), sentAt](const auto &result) {
+    sendProbe(false);
+}
+
+// If the store refuses another record too, the fault is not in the first chunk.
+void JobOwner::Impl::sendProbe(bool mayBeStored)
+{
+    const BootTime sentAt = BootClock::now();
+    context.store.storeJobs(partition, partitionEpoch, sequence, {{ProbeKey, "1"}}, {}, [self = shared_from_this(), sentAt, mayBeStored](const auto &result) {
         if (self->ended) {
             return;
         }
         if (result) {
             ++self->sequence;
             self->giveUpChunk();
-        } else if (result.error() == StoreFailure::Fenced || result.error() == StoreFailure::Conflict) {
+            return;
+        }
+        if (result.error() == StoreFailure::Fenced || result.error() == StoreFailure::Conflict) {
             self->loseOwnership("the store refused a batch: " + std::string(toName(result.error())));
-        } else {
-            self->noteStoreFailure(result.error(), sentAt, [self] {
-                self->sendChunk();
-            });
+            return;
         }
+        // A probe that was not answered may have used up its number, and the store would take the chunk for a repeat of it.
+        const bool keepsNumber = mayBeStored || result.error() == StoreFailure::Unanswered;
+        logChange("owner",
+                  "probe not stored",
+                  {{"partition", std::to_string(self->partition)},
+                   {"sequence", std::to_string(self->sequence)},
+                   {"reason", std::string(toName(result.error()))},
+                   {"next", keepsNumber ? "probe" : "batch"}});
+        self->noteStoreFailure(result.error(), sentAt, [self, keepsNumber] {
+            if (keepsNumber) {
+                self->sendProbe(true);
+            } else {
+                self->sendChunk();
+            }
+        });
     });
 }
 
--- a/libs/jobnode/tests/recordlimittest.cpp
+++ b/libs/jobnode/tests/recordlimittest.cpp
@@ -74,6 +74,26 @@
     BOOST_TEST(fleet.platform.starts == starts + 2);
 }
 
+// Guards against a job that is acknowledged and not stored, because its record was sent under the number of a probe that the store had taken.
+BOOST_AUTO_TEST_CASE(aRecordDoesNotCountAsStoredByTheRepeatOfAProbe)
+{
+    NodeFixture fleet(1);
+    JobNode &owner = fleet.owner();
+    fleet.callUntil(owner, JobCallKind::Submit, FirstJob, JobAnswerKind::Done);
+    bool isAnswerLost = false;
+    fleet.platform.onStored = [&](const std::string &key, const std::string &) {
+        if (key == "probe" && !std::exchange(isAnswerLost, true)) {
+            fleet.platform.answersToLose = 1;
+        }
+    };
+    fleet.platform.invalidKeys = {SecondJob};
+    BOOST_TEST((fleet.call(owner, JobCallKind::Submit, SecondJob).kind == JobAnswerKind::NotRun));
+    BOOST_TEST(isAnswerLost);
+    fleet.callUntil(owner, JobCallKind::Submit, ThirdJob, JobAnswerKind::Done);
+    fleet.awaitState(owner, ThirdJob, JobState::Completed);
+    fleet.platform.onStored = {};
+}
+
 // Guards against jobs that are given up although not their records are at fault.
 BOOST_AUTO_TEST_CASE(noJobIsGivenUpWhileTheStoreRefusesAllRecords)
 {
