Count a failed run of a gang once

Cause: the failures of all members were added up, so a run in which several members fail used up several attempts.

Ruled out: other terms than those of the queue (the limit is 3), and crashes (no crash-counted).

Change: a run counts for the first of its members that fails. The run number of that member is raised, which tells that the run was counted, also to a successor. Records keep their version, so nodes of the former one read them.

Test: aRunOfAGangInWhichSeveralMembersFailCountsOnce fails on the former code (checks of the first and second attempt); test_jobs passes.

--- a/libs/jobs/include/jobs/job.h
+++ b/libs/jobs/include/jobs/job.h
@@ -89,9 +89,12 @@
 /** The durable state of a task. */
 struct Task {
     TaskPhase phase = TaskPhase::Waiting;
-    /** Number of the latest run, which increases with each run; 0 before the first. */
+    /**
+     * Number of the latest run, which increases with each run; 0 before the first. One more for the member of a gang of several whose failure
+     * was counted, until the gang is placed again: so the failed run counts once, also if the owner changes between the ends of two members.
+     */
     std::uint32_t run = 0;
-    /** Number of runs that ended with RunEnd::Failed; always 0 for a long-running task. */
+    /** Number of runs that ended with RunEnd::Failed, for a gang only those in which no other member had failed; always 0 for a long-running task. */
     std::uint32_t failures = 0;
     /** The worker of the current run; empty unless the task is placed. */
     WorkerId worker;
@@ -199,7 +202,7 @@
     std::string pool;
     /** Jobs with a lower number are placed first. */
     std::uint32_t priority = 0;
-    /** The job fails once a task, or all members of a gang together, have this many failed runs. */
+    /** The job fails once a task, or a gang as a whole, has this many failed runs. */
     std::uint32_t attempts = 1;
     /** The target for the time in which the job is completed is (stretch * critical path) + slackMs. */
     double stretch = 1.0;
@@ -384,6 +387,8 @@
     bool hasPlacedTasks() const;
     /** Null if no worker crashed under the task. Valid until the next command. */
     const TaskCrashes *findCrashes(const TaskRef &ref) const;
+    /** The failed runs of an existing task, or those of its gang as a whole, that count towards QueueTerms::attempts. */
+    std::uint32_t failedRuns(const TaskRef &ref) const;
     /** Whether the task may crash its next worker too, so that it should not run beside others. */
     bool isCrashSuspect(const TaskRef &ref) const;
     /** Null if the task had neither a copy nor a restart, or is finished without another run. Valid until the next command. */
@@ -405,7 +410,7 @@
     void dropCopies(const TaskRef &ref);
     EndOutcome restart(Task &task, const std::string &checkpoint);
     EndOutcome fail(const TaskRef &ref, Task &task, std::int64_t wallMs);
-    std::uint32_t countFailures(const TaskRef &ref) const;
+    void countFailure(const TaskRef &ref, Task &task);
     /** The crashes under an unfinished task of an open job, counted from now on if there were none; null if there is no such task. */
     TaskCrashes *crashesOf(const TaskRef &ref);
     EndOutcome judgeCrashes(const TaskCrashes &crashes, bool isCertainCause, std::int64_t wallMs);
--- a/libs/jobs/src/job.cpp
+++ b/libs/jobs/src/job.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 #include <set>
 #include <stdexcept>
 
@@ -104,9 +105,10 @@
 
 std::uint32_t Job::placeGang(std::uint32_t occurrence, std::uint32_t step, const std::vector<WorkerId> &workers)
 {
-    std::uint32_t run = 0;
+    // The member whose failure was counted has a higher number than its latest run, see Task::run.
+    std::uint32_t run = std::numeric_limits<std::uint32_t>::max();
     for (std::uint32_t index = 0; index < workers.size(); ++index) {
-        run = std::max(run, place({occurrence, step, index}, workers[index]));
+        run = std::min(run, place({occurrence, step, index}, workers[index]));
     }
     for (std::uint32_t index = 0; index < workers.size(); ++index) {
         task({occurrence, step, index})->run = run;
@@ -291,8 +293,8 @@
 
 EndOutcome Job::fail(const TaskRef &ref, Task &task, std::int64_t wallMs)
 {
-    ++task.failures;
-    if (!isOpen() || countFailures(ref) < m_record.terms.attempts) {
+    countFailure(ref, task);
+    if (!isOpen() || failedRuns(ref) < m_record.terms.attempts) {
         return EndOutcome::TaskWaiting;
     }
     m_record.state = JobState::Failed;
@@ -300,8 +302,24 @@
     return EndOutcome::JobFailed;
 }
 
-// A gang fails as a whole, whichever member failed, so the failures of all members are added up.
-std::uint32_t Job::countFailures(const TaskRef &ref) const
+// A gang fails as a whole: a run counts once, for the first of its members that fails.
+void Job::countFailure(const TaskRef &ref, Task &task)
+{
+    if (!step(ref).gang) {
+        ++task.failures;
+        return;
+    }
+    const std::vector<Task> &members = findOccurrence(ref.occurrence)->steps[ref.step];
+    const bool isCounted = std::any_of(members.begin(), members.end(), [&](const Task &member) {
+        return member.run > task.run;
+    });
+    if (!isCounted) {
+        ++task.failures;
+        task.run += members.size() > 1 ? 1 : 0;
+    }
+}
+
+std::uint32_t Job::failedRuns(const TaskRef &ref) const
 {
     if (!step(ref).gang) {
         return findTask(ref)->failures;
--- a/libs/jobs/tests/jobstest.cpp
+++ b/libs/jobs/tests/jobstest.cpp
@@ -129,6 +129,26 @@
     BOOST_TEST((job.endRun({0, 0, 1}, run, RunEnd::Failed, "", Now) == EndOutcome::JobFailed));
 }
 
+// Guards against a gang that is given up after one run, because several of its members failed in it.
+BOOST_AUTO_TEST_CASE(aRunOfAGangInWhichSeveralMembersFailCountsOnce)
+{
+    StepSpec step = makeStep(4);
+    step.gang = true;
+    Job job = makeJob({step}, 3);
+    const std::vector<WorkerId> workers = {"a", "a", "a", "a"};
+    for (std::uint32_t attempt = 1; attempt <= 3; ++attempt) {
+        const std::uint32_t run = job.placeGang(0, 0, workers);
+        BOOST_TEST(run == attempt);
+        for (std::uint32_t member = 0; member < step.count; ++member) {
+            // The owner may change between the ends of two members.
+            job = Job(*decodeJob(encodeJob(job.record())));
+            const EndOutcome outcome = job.endRun({0, 0, member}, run, RunEnd::Failed, "", Now);
+            BOOST_TEST((outcome == EndOutcome::JobFailed) == (attempt == 3 && member == 0));
+        }
+        BOOST_TEST(job.isOpen() == (attempt < 3));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(aLostGangMemberIsFinishedIfAnotherMemberFinished)
 {
     StepSpec step = makeStep(2);
--- a/libs/scheduling/src/schedulerresults.cpp
+++ b/libs/scheduling/src/schedulerresults.cpp
@@ -247,6 +247,15 @@
     refreshEstimate(*entry);
     markDirty(*entry);
     emitEvent("run-ended", end.task, end.run, session.facts().id, std::string(toName(end.runEnd)));
+    if (end.runEnd == RunEnd::Failed && !entry->job.step(end.task.ref).longRunning) {
+        const JobRecord &record = entry->job.record();
+        emitEvent("failure-counted",
+                  end.task,
+                  end.run,
+                  session.facts().id,
+                  std::to_string(entry->job.failedRuns(end.task.ref)) + " of " + std::to_string(record.terms.attempts) + " attempts, "
+                      + std::to_string(entry->job.findTask(end.task.ref)->failures) + " failures of the task");
+    }
     if (outcome == EndOutcome::TaskFinished) {
         stopExtraRuns(*entry, end.task.ref, "task finished");
     }
