Keep workers only for suspects that can run on them

Cause: the job was a suspect after two crashes of its worker. The busy worker that is kept until it is vacant had to be large enough for the suspect and met no other condition. Once vacant it rejected the suspect, stayed kept, and the next pass kept another one, up to 80 % of the pool.

Ruled out: workers that never become vacant (0 runs) and many suspects (worker-kept names one job).

Change: a busy worker is kept only if the task can run there once its runs that are not long-running have ended. A vacant kept worker that rejects the suspect for any reason is given back at once; worker-released gives the reason.

--- a/libs/scheduling/include/scheduling/jobisolation.h
+++ b/libs/scheduling/include/scheduling/jobisolation.h
@@ -11,8 +11,8 @@
  * The workers that are kept for tasks which may crash their worker, one job to a worker.
  *
  * A worker is kept as soon as it is chosen, so that no further work of other jobs is started on it; the suspects follow
- * once the work that it had has ended. Only a part of a pool is kept at a time, so that suspects do not displace the
- * other work. Not thread-safe.
+ * once the work that it had has ended. A worker that they cannot use then is given back. Only a part of a pool is kept at a
+ * time, so that suspects do not displace the other work. Not thread-safe.
  */
 class JobIsolation
 {
@@ -20,6 +20,8 @@
     // Commands.
     /** Keeps @p worker of @p pool for @p job; replaces what it was kept for. */
     void keep(const WorkerId &worker, const std::string &pool, const JobId &job);
+    /** Gives @p worker back. */
+    void release(const WorkerId &worker);
     /** Gives back the workers for which @p isNeeded is false. */
     template<typename Predicate>
     void retain(Predicate isNeeded)
--- a/libs/scheduling/include/scheduling/placement.h
+++ b/libs/scheduling/include/scheduling/placement.h
@@ -56,6 +56,9 @@
 /** Why a task with @p request must not be placed on @p candidate; std::nullopt if it may. Pure. */
 std::optional<CandidateRejection> rejectionOf(const PlacementRequest &request, const PlacementCandidate &candidate);
 
+/** The same for when all present runs of @p candidate have ended that are not long-running. */
+std::optional<CandidateRejection> rejectionOnceVacated(const PlacementRequest &request, const PlacementCandidate &candidate);
+
 /**
  * Returns the best of @p candidates for @p request, or nullptr if none of them fits.
  *
--- a/libs/scheduling/src/details/schedulerimpl.h
+++ b/libs/scheduling/src/details/schedulerimpl.h
@@ -325,6 +325,8 @@
     /** A suspect of the job was not placed. Returns whether it may run beside other jobs from now on. */
     static bool hasWaitedForIsolation(JobEntry &entry, BootTime now);
     void keepForSuspects(const JobEntry &entry, PlacementCandidate &candidate);
+    /** Gives a vacant worker back that is kept for the job and rejects a suspect of it, unless it runs a task of the job. */
+    void releaseRejecting(const JobId &job, PlacementCandidate &candidate, CandidateRejection reason);
 
     // Loss of runs.
     void markAllRunsLost(WorkerSession &session, std::int64_t wallMs, std::string_view reason);
--- a/libs/scheduling/src/jobisolation.cpp
+++ b/libs/scheduling/src/jobisolation.cpp
@@ -17,6 +17,11 @@
     m_kept.insert_or_assign(worker, Kept{pool, job});
 }
 
+void JobIsolation::release(const WorkerId &worker)
+{
+    m_kept.erase(worker);
+}
+
 const JobId *JobIsolation::jobOf(const WorkerId &worker) const
 {
     const auto found = m_kept.find(worker);
--- a/libs/scheduling/src/placement.cpp
+++ b/libs/scheduling/src/placement.cpp
@@ -61,12 +61,10 @@
     return penalty + 1000.0 - used;
 }
 
-}
-
-std::optional<CandidateRejection> rejectionOf(const PlacementRequest &request, const PlacementCandidate &candidate)
+std::optional<CandidateRejection> rejectionWithin(const Resources &available, const PlacementRequest &request, const PlacementCandidate &candidate)
 {
     const WorkerFacts &facts = candidate.session->facts();
-    if (!request.demand.fitsInto(candidate.freeCapacityFor(request.job))) {
+    if (!request.demand.fitsInto(available)) {
         return CandidateRejection::NoCapacity;
     }
     if (!hasLabel(facts, request.requiredLabel)) {
@@ -81,6 +79,24 @@
     return std::nullopt;
 }
 
+}
+
+std::optional<CandidateRejection> rejectionOf(const PlacementRequest &request, const PlacementCandidate &candidate)
+{
+    return rejectionWithin(candidate.freeCapacityFor(request.job), request, candidate);
+}
+
+std::optional<CandidateRejection> rejectionOnceVacated(const PlacementRequest &request, const PlacementCandidate &candidate)
+{
+    Resources available = candidate.freeCapacityFor(request.job);
+    for (const auto &[task, run] : candidate.session->runs()) {
+        if (!run.longRunning) {
+            available += run.demand;
+        }
+    }
+    return rejectionWithin(available, request, candidate);
+}
+
 PlacementCandidate *choosePlacement(const PlacementRequest &request, std::vector<PlacementCandidate *> &candidates)
 {
     PlacementCandidate *best = nullptr;
--- a/libs/scheduling/src/schedulercrashes.cpp
+++ b/libs/scheduling/src/schedulercrashes.cpp
@@ -238,37 +238,60 @@
     emitEvent("worker-kept", {candidate.keptFor, {}}, 0, facts.id, std::to_string(candidate.session->runs().size()) + " runs at present");
 }
 
+void Scheduler::Impl::releaseRejecting(const JobId &job, PlacementCandidate &candidate, CandidateRejection reason)
+{
+    const std::map<TaskName, LiveRun> &runs = candidate.session->runs();
+    const bool hasRunOfJob = std::any_of(runs.begin(), runs.end(), [&](const auto &item) {
+        return item.first.job == job;
+    });
+    if (!hasRunOfJob) {
+        const WorkerId &worker = candidate.session->facts().id;
+        emitEvent("worker-released", {job, {}}, 0, worker, "suspect rejected: " + std::string(toName(reason)));
+        isolation.release(worker);
+        candidate.keptFor.clear();
+    }
+}
+
 PlacementCandidate *
 Scheduler::Impl::chooseIsolated(JobEntry &entry, const PlacementRequest &request, PoolCandidates &candidates, const StepAdvice *permissions, BootTime now)
 {
     const JobId &job = entry.job.record().id;
     const std::string &pool = entry.job.record().terms.pool;
     std::vector<PlacementCandidate *> kept;
+    std::vector<PlacementCandidate *> notPermitted;
     std::vector<PlacementCandidate *> idle;
     std::vector<PlacementCandidate *> vacant;
     PlacementCandidate *leastUsed = nullptr;
     bool awaitsVacancy = false;
     for (PlacementCandidate *candidate : candidates.open) {
         const WorkerSession &session = *candidate->session;
-        if (permissions != nullptr && permissions->usableTicket(session.facts().id, now) == nullptr) {
-            continue;
-        }
+        const bool isPermitted = permissions == nullptr || permissions->usableTicket(session.facts().id, now) != nullptr;
         if (candidate->keptFor == job) {
             const bool isVacant = isIsolatedFor(job, session.runs(), now);
-            awaitsVacancy = awaitsVacancy || !isVacant;
+            awaitsVacancy = awaitsVacancy || (isPermitted && !isVacant && !rejectionOnceVacated(request, *candidate));
             if (isVacant) {
-                kept.push_back(candidate);
+                (isPermitted ? kept : notPermitted).push_back(candidate);
             }
+        } else if (!isPermitted) {
+            continue;
         } else if (candidate->keptFor.empty() && session.runs().empty()) {
             idle.push_back(candidate);
         } else if (candidate->keptFor.empty() && isIsolatedFor(job, session.runs(), now)) {
             vacant.push_back(candidate);
-        } else if (candidate->keptFor.empty() && request.demand.fitsInto(session.facts().capacity)
+        } else if (candidate->keptFor.empty() && !rejectionOnceVacated(request, *candidate)
                    && (leastUsed == nullptr || session.used().cpu < leastUsed->session->used().cpu)) {
             leastUsed = candidate;
         }
     }
     PlacementCandidate *chosen = choosePlacement(request, kept);
+    for (PlacementCandidate *candidate : notPermitted) {
+        releaseRejecting(job, *candidate, CandidateRejection::NotPermitted);
+    }
+    for (PlacementCandidate *candidate : kept) {
+        if (const std::optional<CandidateRejection> reason = rejectionOf(request, *candidate)) {
+            releaseRejecting(job, *candidate, *reason);
+        }
+    }
     if (chosen == nullptr && isolation.mayKeepMore(pool, candidates.all.size(), backlog.count(pool) != 0)) {
         chosen = choosePlacement(request, idle);
         chosen = chosen == nullptr ? choosePlacement(request, vacant) : chosen;
--- a/libs/scheduling/tests/crashtest.cpp
+++ b/libs/scheduling/tests/crashtest.cpp
@@ -316,6 +316,51 @@
     BOOST_TEST(fleet.scheduler.findJob("sound")->crashes.empty());
 }
 
+namespace {
+
+/**
+ * The worker w6 of @p suspect crashes and is lost for good, while the other five start small tasks. After 8 s a job arrives with
+ * a long-running task for each of them. Returns how many of its tasks were started 3 s later.
+ */
+std::size_t placedBesideSuspect(ScriptedFleet &fleet, const StepSpec &suspect)
+{
+    fleet.submit("suspect", {suspect});
+    fleet.run(100ms);
+    fleet.crash("w6", 10ms);
+    fleet.run(20ms);
+    fleet.scheduler.unregisterWorker("w6'");
+    std::map<TaskName, BootTime> startedAt;
+    for (int number = 0; number < 40; ++number) {
+        fleet.submit("small" + std::to_string(number), {makeStep(2)});
+        fleet.run(200ms);
+        endSoundRuns(fleet, startedAt, 600ms);
+    }
+    StepSpec step = makeStep(5);
+    step.longRunning = true;
+    step.maxTasksPerWorker = 1;
+    fleet.submit("lasting", {step});
+    fleet.run(3s);
+    std::size_t placed = 0;
+    for (std::uint32_t index = 0; index < step.count; ++index) {
+        placed += startsOf(fleet, {"lasting", {0, 0, index}});
+    }
+    return placed;
+}
+
+}
+
+// Guards against workers that are kept for a suspect which cannot run on them, as they lack its label, while long-running tasks wait.
+BOOST_AUTO_TEST_CASE(noWorkerWithoutTheLabelOfASuspectIsKeptForIt)
+{
+    ScriptedFleet fleet({"w1", "w2", "w3", "w4", "w5"});
+    fleet.labels["w6"] = {"b"};
+    fleet.addWorker("w6");
+    fleet.run(9s);
+    StepSpec suspect = makeStep(1);
+    suspect.requiredLabel = "b";
+    BOOST_TEST(placedBesideSuspect(fleet, suspect) == 5U);
+}
+
 BOOST_AUTO_TEST_CASE(gangsThatCrashWorkersAreGivenUp)
 {
     ScriptedFleet fleet({"w1", "w2", "w3", "w4", "w5", "w6"});
--- a/libs/scheduling/tests/plantest.cpp
+++ b/libs/scheduling/tests/plantest.cpp
@@ -279,6 +279,26 @@
     BOOST_TEST(choosePlacement(request, open)->session->facts().id == "bad");
 }
 
+// Guards against workers that are kept for a task which cannot run on them even once their runs have ended.
+BOOST_AUTO_TEST_CASE(onlyRunsThatEndMakeRoomOnAVacatedWorker)
+{
+    WorkerSession session = makeSession("worker", "r1-1");
+    LiveRun lasting = makeRun({6000, 1000, 0});
+    lasting.longRunning = true;
+    session.addRun({"lasting", {}}, lasting);
+    session.addRun({"short", {}}, makeRun({6000, 1000, 0}));
+    const PlacementCandidate candidate{&session, false, {}};
+    PlacementRequest request;
+    request.demand = {10000, 1000, 0};
+    BOOST_TEST((rejectionOf(request, candidate) == CandidateRejection::NoCapacity));
+    BOOST_TEST(!rejectionOnceVacated(request, candidate));
+    request.demand = {10001, 1000, 0};
+    BOOST_TEST((rejectionOnceVacated(request, candidate) == CandidateRejection::NoCapacity));
+    request.demand = {1000, 1000, 0};
+    request.requiredLabel = "none";
+    BOOST_TEST((rejectionOnceVacated(request, candidate) == CandidateRejection::LabelMissing));
+}
+
 BOOST_AUTO_TEST_CASE(placementRespectsLabelsSpreadAndCapacity)
 {
     WorkerSession one = makeSession("one", "r1-1");
--- a/libs/scheduling/tests/scriptedfleet.cpp
+++ b/libs/scheduling/tests/scriptedfleet.cpp
@@ -24,6 +24,7 @@
         now = predecessor->now;
         running = predecessor->running;
         racks = predecessor->racks;
+        labels = predecessor->labels;
         stored = predecessor->stored;
         m_ended = predecessor->m_ended;
         m_silent = predecessor->m_silent;
@@ -53,6 +54,7 @@
     facts.address = "192.0.2.1:1";
     facts.capacity = m_capacity;
     facts.rack = racks[id];
+    facts.labels = labels[id];
     scheduler.updateWorker(facts, now);
 }
 
--- a/libs/scheduling/tests/scriptedfleet.h
+++ b/libs/scheduling/tests/scriptedfleet.h
@@ -44,6 +44,8 @@
     std::map<WorkerId, std::map<TaskName, std::uint32_t>> running;
     /** The rack of each worker that has one; set before the worker is added. */
     std::map<WorkerId, std::string> racks;
+    /** The labels of each worker that has some; set before the worker is added. */
+    std::map<WorkerId, std::vector<std::string>> labels;
     /** The highest end of each worker that was acknowledged to it. */
     std::map<WorkerId, std::uint64_t> acknowledged;
     std::vector<StartOrder> starts;
