Bound crashes of unknown cause only once two workers have crashed

Cause: a job failed after five crashes of workers under one of its tasks, also if it was the same worker each time.

Evidence: crash-counted up to 5 later, none at the start and none isolated; job-given-up names the same worker five times. That rules out the bounds on starts and proofs.

Change: the bound of five, which holds whatever is known of the crashes, needs two different workers among them. The record names one worker five times at most, so that it stays bounded.

--- a/libs/jobs/include/jobs/job.h
+++ b/libs/jobs/include/jobs/job.h
@@ -140,7 +140,7 @@
     std::uint32_t unconfirmed = 0;
     /** Runs of other tasks that ended with the same workers. */
     std::uint32_t runsLostBeside = 0;
-    /** The workers that crashed. */
+    /** The workers that crashed, those that crashed repeatedly up to five times. */
     std::vector<WorkerId> workers;
 
     auto fields()
--- a/libs/jobs/src/job.cpp
+++ b/libs/jobs/src/job.cpp
@@ -20,14 +20,24 @@
 // Bounds the crashes under a task that cannot be isolated, for instance a member of a gang. A sound task would have to meet this many
 // crashes that it did not cause, each just after one of its starts.
 constexpr std::uint32_t MaxStartupCrashes = 4;
-// Bounds the crashes whatever is known of them. The platform allows less than three starts after the third crash.
-constexpr std::uint32_t MaxCrashes = 5;
+// Bounds the crashes whatever is known of them, once this many workers have crashed. The platform allows less than three starts after the
+// third crash. One worker may crash any number of times by itself, and a task that can run nowhere else meets all of its crashes.
+constexpr std::int64_t MaxCrashes = 5;
+constexpr std::size_t MinCrashedWorkers = 2;
 // Crashes that do not follow the start of a task often have another cause, so one of them arouses no suspicion.
 constexpr std::uint32_t SuspiciousLaterCrashes = 2;
 
 constexpr std::array<std::string_view, 5> StateNames = {"queued", "running", "completed", "failed", "cancelled"};
 constexpr std::array<std::string_view, 6> EndNames = {"done", "failed", "stopped", "lapsed", "broken", "alone"};
 
+// Only a few crashes of one worker are named, so that a worker that crashes again and again does not make the record grow.
+void addCrashedWorker(TaskCrashes &crashes, const WorkerId &worker)
+{
+    if (std::count(crashes.workers.begin(), crashes.workers.end(), worker) < MaxCrashes) {
+        crashes.workers.push_back(worker);
+    }
+}
+
 bool isFinished(const std::vector<Task> &tasks)
 {
     return std::all_of(tasks.begin(), tasks.end(), [](const Task &task) {
@@ -178,7 +188,7 @@
     const bool isOtherWorker = std::find(crashes->workers.begin(), crashes->workers.end(), worker) == crashes->workers.end();
     const bool isProof = evidence.isolated && isOtherWorker;
     crashes->runsLostBeside += runsLostBeside;
-    crashes->workers.push_back(worker);
+    addCrashedWorker(*crashes, worker);
     switch (evidence.moment) {
     case CrashMoment::Startup:
         ++crashes->duringStartup;
@@ -202,7 +212,7 @@
         return EndOutcome::Ignored;
     }
     ++crashes->unconfirmed;
-    crashes->workers.push_back(worker);
+    addCrashedWorker(*crashes, worker);
     return judgeCrashes(*crashes, false, wallMs);
 }
 
@@ -243,7 +253,9 @@
     const std::uint32_t confirmed = crashes.duringStartup + crashes.later;
     const std::uint32_t isolatedWeight = crashes.isolatedDuringStartup * StartupCrashWeight + crashes.isolatedLater * LaterCrashWeight;
     const bool causesCrashes = isCertainCause || isolatedWeight >= MaxIsolatedWeight || crashes.duringStartup >= MaxStartupCrashes;
-    if (!(causesCrashes && confirmed >= MinCrashes) && confirmed + crashes.unconfirmed < MaxCrashes) {
+    const std::set<WorkerId> crashedWorkers(crashes.workers.begin(), crashes.workers.end());
+    const bool hasMostCrashes = confirmed + crashes.unconfirmed >= MaxCrashes && crashedWorkers.size() >= MinCrashedWorkers;
+    if (!(causesCrashes && confirmed >= MinCrashes) && !hasMostCrashes) {
         return EndOutcome::TaskWaiting;
     }
     m_record.state = JobState::Failed;
--- a/libs/jobs/tests/jobstest.cpp
+++ b/libs/jobs/tests/jobstest.cpp
@@ -240,6 +240,24 @@
     BOOST_TEST((job.record().state == JobState::Failed));
 }
 
+// Guards against a sound job that fails because the only worker that can run it goes down and up.
+BOOST_AUTO_TEST_CASE(crashesOfOneWorkerDoNotFailAJob)
+{
+    for (const CrashMoment moment : {CrashMoment::Later, CrashMoment::Unknown}) {
+        Job job = makeJob({makeStep(1)});
+        std::size_t bytes = 0;
+        for (int crash = 0; crash < 100; ++crash) {
+            job.countCrash({0, 0, 0}, "w", {moment, true, true}, 0, Now);
+            job.countUnconfirmedLoss({0, 0, 0}, "w", Now);
+            bytes = crash == 10 ? encodeJob(job.record()).size() : bytes;
+        }
+        BOOST_TEST(job.isOpen());
+        BOOST_TEST(encodeJob(job.record()).size() <= bytes + 16);
+        job.countCrash({0, 0, 0}, "x", {moment, false, false}, 0, Now);
+        BOOST_TEST((job.record().state == JobState::Failed));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(aTaskIsSuspectedAfterACrashAtItsStartOrTwoOthers)
 {
     Job job = makeJob({makeStep(3)});
