Do not suspect the tasks of a rack that failed

Cause: a crash of a worker counted against every task on it, also when its whole rack had fallen silent. After two such crashes all 300 tasks were suspects, and suspects get a worker each.

Evidence: 509 lines crash-counted, 61 worker-kept, 1.8 of 144 cores in use; the silences of the workers of a rack begin within 3 ms. Ruled out: a lack of capacity (no backlog). Starts shortly before the crash add to it.

Change: if all registered workers of a rack with several fall silent within 250 ms, and one of the others without a start just before, the crash counts only against tasks that were suspects before. worker-crashed says so.

--- a/libs/scheduling/include/scheduling/crashattribution.h
+++ b/libs/scheduling/include/scheduling/crashattribution.h
@@ -14,6 +14,11 @@
 /** How long the fleet must have been quiet, see SilenceHistory. Workers that go down and up by turns do so more often. */
 constexpr std::chrono::milliseconds QuietPeriod{8000};
 
+/** Workers of a rack that fall silent together do so within this time; a closed connection shows the silence at once, a heartbeat later. */
+constexpr std::chrono::milliseconds RackFailureSpread{250};
+/** For how long the silence of a worker is remembered. Longer than a lease, and than workers take to restart. */
+constexpr std::chrono::milliseconds SilenceMemory{60000};
+
 /** Whether a run had been running for at least @p period at @p at. */
 bool hasRunFor(const LiveRun &run, std::chrono::milliseconds period, BootTime at);
 
@@ -37,8 +42,8 @@
 std::map<TaskName, CrashEvidence> attributeCrash(const std::map<TaskName, LiveRun> &runs, BootTime crashedAt, bool quietFleet);
 
 /**
- * Remembers when workers fell silent without having started a task just before. While there are such workers, a crash after a start
- * may be a coincidence. Not thread-safe.
+ * Remembers when workers fell silent. While some did that had not started a task just before, a crash after a start may be a
+ * coincidence; and if all workers of a rack did at the same time, the rack has failed. Not thread-safe.
  */
 class SilenceHistory
 {
@@ -47,15 +52,32 @@
     explicit SilenceHistory(BootTime beginAt);
 
     // Commands.
-    /** A worker with @p runs fell silent at @p silentSince. */
-    void note(const std::map<TaskName, LiveRun> &runs, BootTime silentSince);
+    /** @p worker with @p runs fell silent at @p silentSince; its rack has @p workersInRack workers. */
+    void note(const WorkerFacts &worker, const std::map<TaskName, LiveRun> &runs, BootTime silentSince, std::size_t workersInRack);
+    /** An idle worker ended at @p endedAt at the latest; when it fell silent is not known. */
+    void noteIdleEnd(BootTime endedAt);
 
     // Queries.
     /** Whether no worker fell silent without a start from QuietPeriod before @p at until now. */
     bool isQuietAt(BootTime at) const;
+    /**
+     * Whether all workers of a rack with several fell silent within RackFailureSpread of the latest silence of @p worker, and one of the
+     * others without a start that would explain it.
+     */
+    bool isRackFailure(const WorkerId &worker) const;
 
 private:
+    struct Silence {
+        std::string rack;
+        std::size_t workersInRack = 0;
+        BootTime since{};
+        /** The worker had started a task just before. */
+        bool isExplained = false;
+    };
+
     BootTime m_latestUnexplained;
+    /** The latest of each worker, for SilenceMemory. */
+    std::map<WorkerId, Silence> m_silences;
 };
 
 }
--- a/libs/scheduling/src/crashattribution.cpp
+++ b/libs/scheduling/src/crashattribution.cpp
@@ -66,14 +66,42 @@
 {
 }
 
-void SilenceHistory::note(const std::map<TaskName, LiveRun> &runs, BootTime silentSince)
+void SilenceHistory::note(const WorkerFacts &worker, const std::map<TaskName, LiveRun> &runs, BootTime silentSince, std::size_t workersInRack)
 {
+    std::erase_if(m_silences, [&](const auto &item) {
+        return silentSince - item.second.since > SilenceMemory;
+    });
     const bool isExplained = std::any_of(runs.begin(), runs.end(), [&](const auto &item) {
         return item.second.mayHaveStarted() && momentOf(item.second, silentSince) == CrashMoment::Startup;
     });
     if (!isExplained) {
         m_latestUnexplained = std::max(m_latestUnexplained, silentSince);
     }
+    m_silences[worker.id] = {worker.rack, workersInRack, silentSince, isExplained};
+}
+
+void SilenceHistory::noteIdleEnd(BootTime endedAt)
+{
+    m_latestUnexplained = std::max(m_latestUnexplained, endedAt);
+}
+
+bool SilenceHistory::isRackFailure(const WorkerId &worker) const
+{
+    const auto found = m_silences.find(worker);
+    if (found == m_silences.end() || found->second.rack.empty()) {
+        return false;
+    }
+    const Silence &own = found->second;
+    std::size_t silentOthers = 0;
+    bool isOneUnexplained = false;
+    for (const auto &[id, other] : m_silences) {
+        const auto distance = std::max(own.since, other.since) - std::min(own.since, other.since);
+        if (id != worker && other.rack == own.rack && distance <= RackFailureSpread) {
+            ++silentOthers;
+            isOneUnexplained = isOneUnexplained || !other.isExplained;
+        }
+    }
+    return isOneUnexplained && silentOthers + 1 >= own.workersInRack;
 }
 
 bool SilenceHistory::isQuietAt(BootTime at) const
--- a/libs/scheduling/src/details/schedulerimpl.h
+++ b/libs/scheduling/src/details/schedulerimpl.h
@@ -309,6 +309,7 @@
     countCrash(const WorkerId &worker, const TaskName &task, const CrashEvidence &evidence, std::uint32_t runsLostBeside, BootTime now, std::int64_t wallMs);
     /** The crashes under a task were counted anew, with @p outcome. */
     void noteCrashCount(JobEntry &entry, const TaskRef &ref, const WorkerId &worker, EndOutcome outcome, BootTime now);
+    std::size_t countRegisteredInRack(const std::string &rack) const;
     void explainLoss(const TaskName &task, const WorkerId &worker);
     void giveUpJob(JobEntry &entry, const TaskRef &ref, BootTime now);
     /** Forgets the crashes under a long-running task that has proved to be sound. */
--- a/libs/scheduling/src/schedulercrashes.cpp
+++ b/libs/scheduling/src/schedulercrashes.cpp
@@ -44,12 +44,19 @@
     return session.isEndExpected() || cordoned.count(session.facts().id) != 0;
 }
 
+std::size_t Scheduler::Impl::countRegisteredInRack(const std::string &rack) const
+{
+    return static_cast<std::size_t>(std::count_if(workers.begin(), workers.end(), [&](const auto &item) {
+        return item.second.facts().rack == rack && item.second.isRegistered();
+    }));
+}
+
 void Scheduler::Impl::markUnreachable(WorkerSession &session, BootTime now, std::optional<BootTime> silentSince)
 {
     const bool wasReachable = session.isReachable();
     session.markUnreachable(now, silentSince);
     if (wasReachable && silences && !isEndExpected(session) && !session.facts().address.empty()) {
-        silences->note(session.runs(), session.aliveUntil());
+        silences->note(session.facts(), session.runs(), session.aliveUntil(), countRegisteredInRack(session.facts().rack));
     }
 }
 
@@ -63,24 +70,28 @@
     if (runs.empty() && former.evidence.empty()) {
         // Workers without runs are not asked, so nothing is known of when this one fell silent.
         if (silences && !isExpected) {
-            silences->note(runs, now);
+            silences->noteIdleEnd(now);
         }
         return;
     }
     const std::string silence = std::to_string((now - session.aliveUntil()).count());
+    const bool isRackFailure = silences && silences->isRackFailure(worker);
     emitEvent(isExpected ? "worker-left" : "worker-crashed",
               {},
               0,
               worker,
-              std::string(sign) + ", silent for " + silence + " ms, " + describeRuns(runs, session.aliveUntil())
-                  + ", lost before: " + std::to_string(former.evidence.size()));
+              std::string(sign) + ", silent for " + silence + " ms" + (isRackFailure ? " with others of its rack" : "") + ", "
+                  + describeRuns(runs, session.aliveUntil()) + ", lost before: " + std::to_string(former.evidence.size()));
     std::map<TaskName, CrashEvidence> evidence = attributeCrash(runs, session.aliveUntil(), silences && silences->isQuietAt(session.aliveUntil()));
     evidence.insert(former.evidence.begin(), former.evidence.end());
     for (const auto &[task, runEvidence] : evidence) {
         if (former.evidence.count(task) != 0 && runEvidence.moment != CrashMoment::Later) {
             explainLoss(task, worker);
         }
-        if (!isExpected) {
+        // The failure of a rack says nothing about the tasks that ran there. What was suspected before may have crashed its worker all the same.
+        const JobEntry *entry = findEntry(task.job);
+        const bool isSuspect = entry != nullptr && entry->job.isCrashSuspect(task.ref);
+        if (!isExpected && (!isRackFailure || isSuspect)) {
             countCrash(worker, task, runEvidence, static_cast<std::uint32_t>(evidence.size() - 1), now, wallMs);
         }
     }
--- a/libs/scheduling/tests/crashtest.cpp
+++ b/libs/scheduling/tests/crashtest.cpp
@@ -127,13 +127,39 @@
 BOOST_AUTO_TEST_CASE(aFleetIsNotQuietAfterAWorkerFellSilentWithoutAStart)
 {
     SilenceHistory history(CrashedAt - 20s);
-    history.note({{{"a", {0, 0, 0}}, makeRun(10ms)}}, CrashedAt);
+    WorkerFacts worker;
+    worker.id = "w";
+    history.note(worker, {{{"a", {0, 0, 0}}, makeRun(10ms)}}, CrashedAt, 1);
     BOOST_TEST(history.isQuietAt(CrashedAt));
-    history.note({{{"a", {0, 0, 0}}, makeRun(3s)}}, CrashedAt - 2s);
+    history.note(worker, {{{"a", {0, 0, 0}}, makeRun(3s)}}, CrashedAt - 2s, 1);
     BOOST_TEST(!history.isQuietAt(CrashedAt));
     BOOST_TEST(history.isQuietAt(CrashedAt + 7s));
 }
 
+// Guards against crashes that do not count although only some workers of the rack fell silent, or all of them after a start.
+BOOST_AUTO_TEST_CASE(aRackHasFailedOnlyIfAllItsWorkersFellSilentAtOnce)
+{
+    SilenceHistory history(CrashedAt - 20s);
+    const auto note = [&](const WorkerId &id, const std::string &rack, std::chrono::milliseconds runAge, BootTime at) {
+        WorkerFacts worker;
+        worker.id = id;
+        worker.rack = rack;
+        history.note(worker, {{{"job", {0, 0, 0}}, makeRun(runAge - (at - CrashedAt))}}, at, 3);
+    };
+    note("w1", "a", 3s, CrashedAt);
+    note("w2", "a", 10ms, CrashedAt);
+    note("w3", "b", 3s, CrashedAt);
+    BOOST_TEST(!history.isRackFailure("w1"));
+    note("w4", "a", 10ms, CrashedAt + RackFailureSpread + 1ms);
+    BOOST_TEST(!history.isRackFailure("w1"));
+    // The silence of both others is explained by starts.
+    note("w4", "a", 10ms, CrashedAt + RackFailureSpread);
+    BOOST_TEST(!history.isRackFailure("w1"));
+    BOOST_TEST(history.isRackFailure("w2"));
+    note("w4", "a", 3s, CrashedAt + RackFailureSpread);
+    BOOST_TEST(history.isRackFailure("w1"));
+}
+
 BOOST_AUTO_TEST_CASE(onlyAPartOfAPoolIsKeptForSuspects)
 {
     JobIsolation isolation;
@@ -316,6 +342,41 @@
     BOOST_TEST(fleet.scheduler.findJob("sound")->crashes.empty());
 }
 
+// Guards against sound tasks that wait for workers of their own, because they were on two racks that failed one after the other.
+BOOST_AUTO_TEST_CASE(tasksOfAFailedRackAreNotSuspected)
+{
+    ScriptedFleet fleet({});
+    fleet.racks = {{"a1", "a"}, {"a2", "a"}, {"b1", "b"}, {"b2", "b"}};
+    fleet.addWorker("b1");
+    fleet.addWorker("b2");
+    // Runs that make no progress would be moved.
+    fleet.onListed = [&fleet](const TaskName &) {
+        return std::pair<int, std::int64_t>((fleet.now - ScriptedFleet::Start) / 100ms % 100, 0);
+    };
+    fleet.run(9s);
+    constexpr int Jobs = 16;
+    for (int number = 0; number < Jobs; ++number) {
+        fleet.submit("job" + std::to_string(number), {makeStep(1)});
+    }
+    fleet.run(1s);
+    fleet.addWorker("a1");
+    fleet.addWorker("a2");
+    fleet.run(1s);
+    for (const std::string &rack : {std::string("b"), std::string("a")}) {
+        BOOST_TEST(fleet.running[rack + "1"].size() + fleet.running[rack + "2"].size() == static_cast<std::size_t>(Jobs));
+        fleet.crash(rack + "1", 3s);
+        fleet.crash(rack + "2", 3s);
+        fleet.run(4s);
+    }
+    for (int number = 0; number < Jobs; ++number) {
+        BOOST_TEST(fleet.scheduler.findJob("job" + std::to_string(number))->crashes.empty());
+    }
+    runWithEnds(fleet, 2s, 500ms);
+    for (int number = 0; number < Jobs; ++number) {
+        BOOST_TEST((*fleet.scheduler.stateOf("job" + std::to_string(number)) == JobState::Completed));
+    }
+}
+
 namespace {
 
 /**
