Judge a rack by the silence that the crash ended

A worker that is replaced before a call to it fails has no silence noted for that crash. Its latest one may be of an earlier failure of the rack, and the crash would not count.

Change: the noted silence must begin when the worker was last heard.

Test: a further check of aRackHasFailedOnlyIfAllItsWorkersFellSilentAtOnce.

--- a/libs/scheduling/include/scheduling/crashattribution.h
+++ b/libs/scheduling/include/scheduling/crashattribution.h
@@ -61,10 +61,10 @@
     /** Whether no worker fell silent without a start from QuietPeriod before @p at until now. */
     bool isQuietAt(BootTime at) const;
     /**
-     * Whether all workers of a rack with several fell silent within RackFailureSpread of the latest silence of @p worker, and one of the
-     * others without a start that would explain it.
+     * Whether @p worker, which is silent since @p silentSince, and all others of its rack fell silent within RackFailureSpread, and one
+     * of the others without a start that would explain it.
      */
-    bool isRackFailure(const WorkerId &worker) const;
+    bool isRackFailure(const WorkerId &worker, BootTime silentSince) const;
 
 private:
     struct Silence {
--- a/libs/scheduling/src/crashattribution.cpp
+++ b/libs/scheduling/src/crashattribution.cpp
@@ -85,10 +85,11 @@
     m_latestUnexplained = std::max(m_latestUnexplained, endedAt);
 }
 
-bool SilenceHistory::isRackFailure(const WorkerId &worker) const
+bool SilenceHistory::isRackFailure(const WorkerId &worker, BootTime silentSince) const
 {
     const auto found = m_silences.find(worker);
-    if (found == m_silences.end() || found->second.rack.empty()) {
+    // An earlier silence says nothing about a later crash.
+    if (found == m_silences.end() || found->second.rack.empty() || found->second.since != silentSince) {
         return false;
     }
     const Silence &own = found->second;
--- a/libs/scheduling/src/schedulercrashes.cpp
+++ b/libs/scheduling/src/schedulercrashes.cpp
@@ -75,7 +75,7 @@
         return;
     }
     const std::string silence = std::to_string((now - session.aliveUntil()).count());
-    const bool isRackFailure = silences && silences->isRackFailure(worker);
+    const bool isRackFailure = silences && silences->isRackFailure(worker, session.aliveUntil());
     emitEvent(isExpected ? "worker-left" : "worker-crashed",
               {},
               0,
--- a/libs/scheduling/tests/crashtest.cpp
+++ b/libs/scheduling/tests/crashtest.cpp
@@ -149,15 +149,17 @@
     note("w1", "a", 3s, CrashedAt);
     note("w2", "a", 10ms, CrashedAt);
     note("w3", "b", 3s, CrashedAt);
-    BOOST_TEST(!history.isRackFailure("w1"));
+    BOOST_TEST(!history.isRackFailure("w1", CrashedAt));
     note("w4", "a", 10ms, CrashedAt + RackFailureSpread + 1ms);
-    BOOST_TEST(!history.isRackFailure("w1"));
+    BOOST_TEST(!history.isRackFailure("w1", CrashedAt));
     // The silence of both others is explained by starts.
     note("w4", "a", 10ms, CrashedAt + RackFailureSpread);
-    BOOST_TEST(!history.isRackFailure("w1"));
-    BOOST_TEST(history.isRackFailure("w2"));
+    BOOST_TEST(!history.isRackFailure("w1", CrashedAt));
+    BOOST_TEST(history.isRackFailure("w2", CrashedAt));
     note("w4", "a", 3s, CrashedAt + RackFailureSpread);
-    BOOST_TEST(history.isRackFailure("w1"));
+    BOOST_TEST(history.isRackFailure("w1", CrashedAt));
+    // It was heard again before it fell silent for good.
+    BOOST_TEST(!history.isRackFailure("w1", CrashedAt + 1s));
 }
 
 BOOST_AUTO_TEST_CASE(onlyAPartOfAPoolIsKeptForSuspects)
