Wait for all starts before the takeover in the test of large records

Cause: in the test. A job is running with the first of its eight starts, and the test took the number of starts then. In the trace, all eight tasks were placed by the first owner, at the same moment; the successor placed none.

Change: the test waits for the eight starts that have room, and requires exactly these after the takeover, so the check is stricter.

--- a/libs/jobnode/tests/recordlimittest.cpp
+++ b/libs/jobnode/tests/recordlimittest.cpp
@@ -26,13 +26,17 @@
     fleet.awaitState(first, FirstJob, JobState::Running);
     BOOST_TEST(fleet.platform.ownership.back().jobsPartition == 0U);
     BOOST_TEST(fleet.platform.partitions[0].jobs.count(FirstJob + "#1") == 1U);
-    const int starts = fleet.platform.starts;
+    // The job is running with its first task; the starts of the others may still be under way.
+    constexpr int TasksWithRoom = 8;
+    fleet.runUntil([&] {
+        return fleet.platform.starts == TasksWithRoom;
+    });
     first.stop();
     fleet.runUntil([&] {
         return second.isOwner();
     });
     fleet.awaitState(second, FirstJob, JobState::Running);
-    BOOST_TEST(fleet.platform.starts == starts);
+    BOOST_TEST(fleet.platform.starts == TasksWithRoom);
     // The successor replaces a value that its predecessor stored in several records.
     fleet.callUntil(second, JobCallKind::Cancel, FirstJob, JobAnswerKind::Done);
     fleet.awaitState(second, SecondJob, JobState::Running);
