--- a/review/standin-3/standin.py
+++ b/review/standin-3/standin.py
@@ -8,6 +8,7 @@
 import base64
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -32,6 +33,9 @@
 MOVE_S = 1.5
 UPKEEP_S = 2.0
 
+# Exit status of a case whose rule was broken; Python itself ends with 1 after an error.
+BROKEN = 10
+
 HOST = "jobs.example"
 KEY = "key-of-brennan"
 CPU, MEMORY = 16000, 32768
@@ -41,6 +45,20 @@
     """The case could not be set up, so it says nothing about the rule."""
 
 
+def free_port():
+    """A port below those that the kernel gives to outgoing connections, so that it stays free while its owner is down."""
+    for _ in range(1000):
+        port = random.randrange(20000, 32000)
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
+    raise CannotRun("there is no free port")
+
+
 class Connection(asyncio.Protocol):
     """One HTTP/1.1 connection to a stand-in; its requests are answered one after the other."""
 
@@ -110,8 +128,8 @@
 
     async def listen(self):
         loop = asyncio.get_running_loop()
+        self.port = self.port or free_port()
         self.listener = await loop.create_server(lambda: Connection(self), "127.0.0.1", self.port)
-        self.port = self.listener.sockets[0].getsockname()[1]
 
     def close(self):
         if self.listener is not None:
@@ -501,7 +519,9 @@
         return time.monotonic() - self.started
 
     def note(self, event, **facts):
-        self.lines.append("%8.3f %s %s" % (self.now(), event, json.dumps(facts)))
+        line = "%8.3f %s %s" % (self.now(), event, json.dumps(facts))
+        self.lines.append(line)
+        print(line, flush=True)
 
     # Jobs, as the platform knows them.
     def step_of(self, task):
@@ -590,16 +610,10 @@
                 worker.check_lease()
             await asyncio.sleep(0.02)
 
-    @staticmethod
-    def free_port():
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            return probe.getsockname()[1]
-
     async def start_node(self, number):
         node = {"name": "edge-ie-south-%s-%d" % ("abc"[number % 3], 1 + number // 3)}
         for name in ("callers", "readiness", "peer", "metrics"):
-            node[name] = self.free_port()
+            node[name] = free_port()
         text = """name: %(name)s
 zone: %(zone)s
 callers: "127.0.0.1:%(callers)d"
@@ -685,13 +699,13 @@
 
     async def call(self, node, method, job, timeout=3.0, body=None):
         answer = await self.request(node["callers"], method, "/cutlist/" + job, timeout, body)
-        if method != "GET" or answer is None or answer[0] != 200:
-            self.note("client", method=method, job=job, node=node["name"], answer=answer[0] if answer else "none")
+        self.note("client", method=method, job=job, node=node["name"], answer=answer[0] if answer else "none")
         return answer
 
     def define(self, job, steps):
         """Registers the job's steps, each with work_s, which only the workers know; returns the body of its submission."""
         self.jobs[job] = steps
+        self.note("job", job=job, steps=steps)
         return {"spec": "cut list " + job, "steps": [{key: value for key, value in step.items() if key != "work_s"} for step in steps]}
 
     async def submit(self, job, steps, node=None):
@@ -736,28 +750,31 @@
 
 
 def main(folder, case):
-    """Runs @p case, a coroutine that returns the violations of its rule; TROUBLE=0 leaves out the disruption."""
+    """Runs @p case, a coroutine that returns the violations of its rule; TROUBLE=0 leaves out the disruption.
+
+    Prints the record. Ends with BROKEN if the rule was broken, 0 if it held, and otherwise if the case could not run.
+    """
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def play():
         world = World(folder)
+        this = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, this.cancel)
+        code, verdict = 2, "the case could not run"
         try:
             async with asyncio.timeout(115):
                 violations = await case(world, trouble)
-            code = 1 if violations else 0
             for violation in violations:
                 world.note("VIOLATION", text=violation)
+            code, verdict = (BROKEN, "the rule was broken") if violations else (0, "the rule held")
         except (CannotRun, TimeoutError) as problem:
             world.note("cannot run", problem=str(problem) or "took too long")
-            violations, code = [], 2
+        except asyncio.CancelledError:
+            world.note("cannot run", problem="stopped by a signal")
         finally:
             await world.end()
-        world.note("result", exit=code, trouble=trouble)
-        with open(os.path.join(folder, "record.txt"), "w") as record:
-            record.write("\n".join(world.lines) + "\n")
-        for violation in violations:
-            print(violation)
-        print({0: "the rule held", 1: "the rule was broken", 2: "the case could not run"}[code])
+        world.note("result", verdict=verdict, trouble=trouble)
         return code
 
     sys.exit(asyncio.run(play()))
