--- a/libs/httpio/include/httpio/message.h
+++ b/libs/httpio/include/httpio/message.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "timing/instant.h"
+
 #include <string>
 #include <string_view>
 #include <vector>
@@ -19,6 +21,8 @@
     std::string target;
     std::vector<HttpHeader> headers;
     std::string body;
+    /** Set by HttpServer: when this machine had received the request, which may have waited for this process since then. */
+    BootTime receivedAt{};
 
     /** Value of the first header named @p name; empty if there is none. Valid as long as the message is unchanged. */
     std::string_view header(std::string_view name) const;
--- a/libs/httpio/src/httpserver.cpp
+++ b/libs/httpio/src/httpserver.cpp
@@ -1,6 +1,7 @@
 #include "httpio/httpserver.h"
 
 #include "details/messageparser.h"
+#include "details/receivetime.h"
 #include "details/serialization.h"
 #include "timing/instant.h"
 #include "transport/listening.h"
@@ -300,6 +301,7 @@
             }
             if (!self->m_closeAfterAnswer) {
                 self->m_input.append(self->m_buffer.data(), length);
+                self->m_receivedAt = Details::lastReceivedAt(self->socket());
             }
             self->processInput();
         };
@@ -387,6 +389,7 @@
     {
         m_closeAfterAnswer = !m_parser.keepsAlive();
         HttpRequest request = m_parser.takeRequest();
+        request.receivedAt = m_receivedAt;
         const std::size_t memory = memoryOf(request);
         if (m_server->budget && !m_server->budget->admits(memory)) {
             m_server->noteEvent(HttpServerEvent::RequestRefused);
@@ -440,6 +443,8 @@
     std::string m_input;
     std::string m_outgoing;
     Phase m_phase = Phase::Opening;
+    /** When the kernel had received the newest bytes of m_input. */
+    BootTime m_receivedAt{};
     SteadyTime m_phaseBeganAt{};
     SteadyTime m_deadline{};
     /** In the list of connections in m_phase. */
--- a/libs/httpio/tests/httpiotest.cpp
+++ b/libs/httpio/tests/httpiotest.cpp
@@ -10,6 +10,7 @@
 #include <deque>
 #include <map>
 #include <random>
+#include <thread>
 
 using namespace Cornelquay;
 using namespace std::chrono_literals;
@@ -393,3 +394,24 @@
         parser.finish();
     }
 }
+
+// Guards against a request that waited for a suspended process and is taken for a new one.
+BOOST_AUTO_TEST_CASE(theTimeOfReceiptIncludesTheWaitForTheProcess)
+{
+    asio::io_context io;
+    std::optional<BootTime> receivedAt;
+    HttpServer server(io, AnyPort, {}, [&](const HttpRequest &request, const HttpServer::Responder &respond) {
+        receivedAt = request.receivedAt;
+        respond({200, {}, {}});
+    });
+    asio::ip::tcp::socket socket(io);
+    socket.connect({asio::ip::make_address("127.0.0.1"), server.port()});
+    asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+    const BootTime sentAt = BootClock::now();
+    // The server does not run meanwhile.
+    std::this_thread::sleep_for(1s);
+    runUntil(io, [&] {
+        return receivedAt.has_value();
+    });
+    BOOST_TEST((*receivedAt < sentAt + 500ms));
+}
