Keep the cancel of an unknown job, so that its submission is refused

Cause: a cancel of an unknown job left no trace, although 410 is final and a submission may still be under way, in a socket, on a link, at a former owner or in a forwarded call.

Change: the owner keeps such a cancel as a record of the id without steps, answers once it is stored, and refuses the submission with 503 and the time after which the id is free. Storing, takeover, moves between partitions, the limits on memory, the share of each account and the time until it is forgotten are those of closed jobs. A cancel that does not fit is refused, so not acknowledged.

Why it works: whatever delays a message, it is decided by the owner, whose records have every acknowledged cancel. Submissions without a cancel and repeated cancels are answered as before.

--- a/libs/jobnode/src/details/jobownerimpl.h
+++ b/libs/jobnode/src/details/jobownerimpl.h
@@ -279,6 +279,11 @@
     // Calls.
     void handle(const JobCall &call, const Responder &respond);
     void submit(const JobCall &call, const Responder &respond);
+    void cancel(const JobCall &call, const Responder &respond);
+    /** Keeps the cancel of an unknown job, because a submission that its client sent before may arrive later, and then responds that it is unknown. */
+    void cancelEarly(const JobCall &call, const Responder &respond);
+    /** Why a submission is refused whose job was cancelled before; std::nullopt if it was not. */
+    std::optional<JobAnswer> refusalForEarlyCancellation(const JobCall &call) const;
     /** Whether the job of the call belongs to another client account, so that it does not exist for this call. */
     bool isOfOtherAccount(const JobCall &call) const;
     /** The state of the job of the call; std::nullopt if it is not stored or does not exist for this call. */
@@ -288,6 +293,7 @@
     void answerUnconfirmedCalls(BootTime now);
     /** Why a new job is not even considered for admission; std::nullopt if it is. */
     std::optional<JobAnswer> refusalFor(const JobRecord &record, BootTime now) const;
+    std::optional<JobAnswer> refusalForMemory(const JobRecord &record, std::int64_t wallMs) const;
     void explain(const JobCall &call, const Responder &respond);
     OwnerViews views(BootTime now) const;
     /** Responds with @p answer once @p batch is stored, or as unknown if that takes too long. */
--- a/libs/jobnode/src/jobownercalls.cpp
+++ b/libs/jobnode/src/jobownercalls.cpp
@@ -16,6 +16,8 @@
 constexpr std::int64_t ConfigurationRetryAfterMs = 300;
 // The id is free again once the other account's job is closed and forgotten, which takes minutes.
 constexpr std::int64_t IdInUseRetryAfterMs = 60000;
+// Minimum for a submission that is refused because its id was cancelled: the id may stay in use a little longer than it must.
+constexpr std::int64_t MinIdRetryAfterMs = 1000;
 // Time for the answer to reach the caller through the node that forwarded the call.
 constexpr std::int64_t AnswerMarginMs = 150;
 // Minimum time that a call waits for its batch: several times the usual duration of a batch.
@@ -45,6 +47,13 @@
     return placed;
 }
 
+bool isOfOtherAccountThan(const JobCall &call, const JobRecord &job)
+{
+    // The route may be public now or when the job was submitted, so one of the calls had no account.
+    const bool isAnonymous = job.account.empty() || call.account.empty();
+    return job.account != call.account && (!isAnonymous || job.queue != call.queue);
+}
+
 JobRecord makeRecord(const JobCall &call, const QueuePolicy &queue)
 {
     JobRecord record;
@@ -95,15 +104,9 @@
     case JobCallKind::Submit:
         submit(call, respond);
         break;
-    case JobCallKind::Cancel: {
-        const CancelOutcome outcome = isOfOtherAccount(call) ? CancelOutcome{} : scheduler.cancel(call.job, toUnixMilliseconds(wallNow()));
-        if (outcome.known) {
-            answerOnceStored(outcome.batch, call, JobAnswer::of(JobAnswerKind::Done), respond);
-        } else {
-            answerUnknownOnceConfirmed(call, respond);
-        }
+    case JobCallKind::Cancel:
+        cancel(call, respond);
         break;
-    }
     case JobCallKind::State: {
         const std::optional<JobState> state = stateFor(call);
         if (!state) {
@@ -134,12 +137,63 @@
 bool JobOwner::Impl::isOfOtherAccount(const JobCall &call) const
 {
     const JobRecord *job = scheduler.findJob(call.job);
-    if (job == nullptr || job->account == call.account) {
-        return false;
+    return job != nullptr && isOfOtherAccountThan(call, *job);
+}
+
+void JobOwner::Impl::cancel(const JobCall &call, const Responder &respond)
+{
+    if (isOfOtherAccount(call)) {
+        answerUnknownOnceConfirmed(call, respond);
+        return;
     }
-    // The route may be public now or when the job was submitted, so one of the calls had no account.
-    const bool isAnonymous = job->account.empty() || call.account.empty();
-    return !isAnonymous || job->queue != call.queue;
+    const CancelOutcome outcome = scheduler.cancel(call.job, toUnixMilliseconds(wallNow()));
+    if (outcome.known) {
+        answerOnceStored(outcome.batch, call, JobAnswer::of(JobAnswerKind::Done), respond);
+    } else {
+        cancelEarly(call, respond);
+    }
+}
+
+void JobOwner::Impl::cancelEarly(const JobCall &call, const Responder &respond)
+{
+    const std::int64_t wallMs = toUnixMilliseconds(wallNow());
+    JobRecord record;
+    record.id = call.job;
+    record.queue = call.queue;
+    record.account = call.account;
+    const JobRecord *known = scheduler.findEarlyCancellation(call.job);
+    if (known != nullptr && isOfOtherAccountThan(call, *known)) {
+        respond(JobAnswer::notRun("the id is in use", IdInUseRetryAfterMs));
+        return;
+    }
+    if (known == nullptr && isStoreUnavailable(BootClock::now())) {
+        respond(JobAnswer::notRun("the store does not answer", StoreUnavailableRetryAfterMs));
+        return;
+    }
+    if (known == nullptr) {
+        if (const std::optional<JobAnswer> refusal = refusalForMemory(record, wallMs)) {
+            respond(*refusal);
+            return;
+        }
+    }
+    const std::uint64_t batch = scheduler.cancelEarly(std::move(record), wallMs);
+    if (scheduler.isStored(batch)) {
+        answerUnknownOnceConfirmed(call, respond);
+    } else {
+        answerOnceStored(batch, call, JobAnswer::of(JobAnswerKind::UnknownJob), respond);
+    }
+}
+
+std::optional<JobAnswer> JobOwner::Impl::refusalForEarlyCancellation(const JobCall &call) const
+{
+    const JobRecord *cancelled = scheduler.findEarlyCancellation(call.job);
+    if (cancelled == nullptr || isOfOtherAccountThan(call, *cancelled)) {
+        return std::nullopt;
+    }
+    const std::int64_t ageMs = toUnixMilliseconds(wallNow()) - cancelled->closedMs;
+    logChange("owner", "submission after its cancel", {{"job", call.job}, {"cancelled-ms-ago", std::to_string(ageMs)}});
+    const std::int64_t keptMs = context.schedulerTimes.closedJobRetentionPeriod.count();
+    return JobAnswer::notRun("the job was cancelled before it was received", std::clamp<std::int64_t>(keptMs - ageMs, MinIdRetryAfterMs, keptMs));
 }
 
 std::optional<JobState> JobOwner::Impl::stateFor(const JobCall &call) const
@@ -183,6 +237,10 @@
         respond(JobAnswer::notRun("the id is in use", IdInUseRetryAfterMs));
         return;
     }
+    if (const std::optional<JobAnswer> refusal = refusalForEarlyCancellation(call)) {
+        respond(*refusal);
+        return;
+    }
     if (scheduler.findJob(call.job) == nullptr) {
         const auto queue = policy->queues.find(call.queue);
         if (queue == policy->queues.end()) {
@@ -223,11 +281,17 @@
     if (const std::optional<std::chrono::milliseconds> retryDelay = scheduler.adviceRetryDelay(record)) {
         return JobAnswer::notRun("the advice service is too far behind", retryDelay->count());
     }
-    if (const MemoryDecision memory = scheduler.decideMemory(record, toUnixMilliseconds(wallNow())); memory.isRefused) {
-        return memory.isAccountOverShare ? JobAnswer::overShare("the account's jobs take their part of the owner's memory", memory.retryAfter.count())
-                                         : JobAnswer::notRun("the jobs that the owner holds take all memory for jobs", memory.retryAfter.count());
+    return refusalForMemory(record, toUnixMilliseconds(wallNow()));
+}
+
+std::optional<JobAnswer> JobOwner::Impl::refusalForMemory(const JobRecord &record, std::int64_t wallMs) const
+{
+    const MemoryDecision memory = scheduler.decideMemory(record, wallMs);
+    if (!memory.isRefused) {
+        return std::nullopt;
     }
-    return std::nullopt;
+    return memory.isAccountOverShare ? JobAnswer::overShare("the account's jobs take their part of the owner's memory", memory.retryAfter.count())
+                                     : JobAnswer::notRun("the jobs that the owner holds take all memory for jobs", memory.retryAfter.count());
 }
 
 void JobOwner::Impl::explain(const JobCall &call, const Responder &respond)
--- a/libs/jobs/include/jobs/job.h
+++ b/libs/jobs/include/jobs/job.h
@@ -262,6 +262,12 @@
     }
     bool operator==(const JobRecord &) const = default;
 
+    /** Whether the job was received. Otherwise the record is that of a cancellation only, see Scheduler::cancelEarly(). */
+    bool isSubmitted() const
+    {
+        return !spec.steps.empty();
+    }
+
     /** The incarnation of @p worker in which tasks of the job were placed, without address and start if it is not known. */
     WorkerIncarnation incarnationOf(const WorkerId &worker) const;
 };
--- a/libs/scheduling/include/scheduling/scheduler.h
+++ b/libs/scheduling/include/scheduling/scheduler.h
@@ -288,6 +288,13 @@
     Explanation explain(JobRecord record, BootTime now, std::int64_t wallMs) const;
     SubmitOutcome submit(JobRecord record, BootTime now, std::int64_t wallMs);
     CancelOutcome cancel(const JobId &job, std::int64_t wallMs);
+    /**
+     * Keeps the cancellation of a job that is not known, so that a submission of it that is still under way can be refused.
+     * @p record has the id, queue and account of the call. It is stored, counted and forgotten like the record of a closed job; a
+     * repeated cancellation renews the time for which it is kept. Returns the batch with which it is durable. Throws std::logic_error
+     * if the job is known.
+     */
+    std::uint64_t cancelEarly(JobRecord record, std::int64_t wallMs);
 
     // Commands: results of orders.
     void handleLeaseRenewalResult(const RenewLeaseOrder &order, BootTime sentAt, const RenewLeaseResult &result, BootTime now, std::int64_t wallMs);
@@ -334,8 +341,10 @@
      * std::nullopt if no record of the job is stored.
      */
     std::optional<JobState> stateOf(const JobId &job) const;
-    /** The current record, including changes that are not stored; nullptr if the job is unknown. Valid until the next command. */
+    /** The current record, including changes that are not stored; nullptr if the job was not received. Valid until the next command. */
     const JobRecord *findJob(const JobId &job) const;
+    /** The cancellation of a job that was not received, which may not be stored yet; nullptr if there is none. Valid until the next command. */
+    const JobRecord *findEarlyCancellation(const JobId &job) const;
     /** Number of open jobs of @p queue that have a stored record and no started task. */
     std::size_t pendingJobCount(const std::string &queue) const;
     /** Whether the order may still be sent: other tasks may have become unavailable while it waited. Also true for runs that are not known. */
--- a/libs/scheduling/src/details/schedulerimpl.h
+++ b/libs/scheduling/src/details/schedulerimpl.h
@@ -292,6 +292,8 @@
     void addRun(WorkerSession &session, const TaskName &task, const JobEntry &entry, LiveRun run);
     void removeRun(WorkerSession &session, const TaskName &task);
     void markRunLost(WorkerSession &session, const TaskName &task, std::int64_t wallMs, std::string_view reason);
+    /** Forgets the cancellation of a job that was not received, because another account submits a job with this id. */
+    void dropEarlyCancellation(const JobId &job);
     /** Stops the other members of the gang to which @p task belonged in run @p run. */
     void stopGangMembers(const JobEntry &entry, const TaskName &task, std::uint32_t run, std::int64_t wallMs);
 
--- a/libs/scheduling/src/scheduler.cpp
+++ b/libs/scheduling/src/scheduler.cpp
@@ -227,10 +227,14 @@
 SubmitOutcome Scheduler::submit(JobRecord record, BootTime now, std::int64_t wallMs)
 {
     Impl &impl = *m_impl;
-    if (const JobEntry *known = impl.findEntry(record.id)) {
+    const JobId id = record.id;
+    const JobEntry *known = impl.findEntry(id);
+    if (known != nullptr && known->job.record().isSubmitted()) {
         return {SubmitOutcome::Kind::Known, known->stored ? impl.storedBatch : std::max(known->batch, impl.durableBatch())};
     }
-    const JobId id = record.id;
+    if (known != nullptr) {
+        impl.dropEarlyCancellation(id);
+    }
     const BootTime receivedAt = impl.admission.firstTries.find(id, now).value_or(now);
     impl.admission.firstTries.forget(id);
     record.submittedMs = wallMs - (now - receivedAt).count();
@@ -251,7 +255,7 @@
 {
     Impl &impl = *m_impl;
     JobEntry *entry = impl.findEntry(job);
-    if (entry == nullptr) {
+    if (entry == nullptr || !entry->job.record().isSubmitted()) {
         return {};
     }
     if (entry->job.cancel(wallMs)) {
@@ -416,7 +420,7 @@
 std::optional<JobState> Scheduler::stateOf(const JobId &job) const
 {
     const JobEntry *entry = m_impl->findEntry(job);
-    if (entry == nullptr || !entry->stored) {
+    if (entry == nullptr || !entry->stored || !entry->job.record().isSubmitted()) {
         return std::nullopt;
     }
     const bool begun = entry->storedState == JobState::Queued && entry->job.record().hasStarted;
@@ -426,7 +430,7 @@
 const JobRecord *Scheduler::findJob(const JobId &job) const
 {
     const JobEntry *entry = m_impl->findEntry(job);
-    return entry == nullptr ? nullptr : &entry->job.record();
+    return entry == nullptr || !entry->job.record().isSubmitted() ? nullptr : &entry->job.record();
 }
 
 std::size_t Scheduler::pendingJobCount(const std::string &queue) const
