Do not remove a new record with the removal of a forgotten job

A job is forgotten 120 s after it was closed, and its record is removed with the next batch. If its id is used again before that batch is taken, for instance while the store is slow, the batch has both the new record and the removal, which is stored behind it. The job, or the cancel of an unknown one, was acknowledged and then unknown to the next owner. Found by reading, while the life of kept cancels was followed.

takeBatch() leaves out removals of ids that are in use.

Before: theRemovalOfAForgottenJobDoesNotRemoveANewOneWithItsId fails (0 records instead of 1). After: it passes.

--- a/libs/scheduling/src/scheduler.cpp
+++ b/libs/scheduling/src/scheduler.cpp
@@ -305,6 +305,10 @@
     impl.addDisruptions(batch);
     batch.dropped = std::move(impl.droppedJobs);
     impl.droppedJobs.clear();
+    // Removals are stored behind the records of their batch, so one of an id that is in use again would remove the new record.
+    std::erase_if(batch.dropped, [&](const JobId &id) {
+        return impl.jobs.count(id) != 0;
+    });
     if (!batch.isEmpty()) {
         ++impl.nextBatch;
     }
--- a/libs/scheduling/tests/earlycancellationtest.cpp
+++ b/libs/scheduling/tests/earlycancellationtest.cpp
@@ -122,3 +122,21 @@
     BOOST_TEST((fleet.scheduler.stateOf("one") == JobState::Queued));
     BOOST_TEST(fleet.scheduler.counts().openJobs == 1U);
 }
+
+// Guards against the removal of a forgotten job that is stored behind a new job with its id, which the next owner then does not know.
+BOOST_AUTO_TEST_CASE(theRemovalOfAForgottenJobDoesNotRemoveANewOneWithItsId)
+{
+    StoredScheduler fleet;
+    fleet.scheduler.submit(makeJob("one", "a"), fleet.now, fleet.wallMs);
+    fleet.scheduler.cancel("one", fleet.wallMs);
+    fleet.store();
+    fleet.now += 200s;
+    fleet.wallMs += 200000;
+    fleet.scheduler.advance(fleet.now, fleet.wallMs);
+    BOOST_REQUIRE(fleet.scheduler.findJob("one") == nullptr);
+    // The batch before is still being stored, so the removal waits.
+    fleet.scheduler.submit(makeJob("one", "a"), fleet.now, fleet.wallMs);
+    fleet.store();
+    BOOST_TEST((fleet.scheduler.stateOf("one") == JobState::Queued));
+    BOOST_TEST(fleet.stored.count("one") == 1U);
+}
