--- a/tools/daemons/tests/frozennodetest.cpp
+++ b/tools/daemons/tests/frozennodetest.cpp
@@ -58,6 +58,22 @@
     node.fleet.check();
 }
 
+// Guards against a submission that takes effect after its client has stopped waiting, for which it may have been refused elsewhere.
+BOOST_AUTO_TEST_CASE(aSubmissionWhoseTimeIsOverIsRefusedWhenAFrozenNodeReadsIt)
+{
+    FrozenNode node;
+    const std::string answer = node.submit(500ms, [] {
+        std::this_thread::sleep_for(1500ms);
+    });
+    BOOST_TEST(answer == Refused);
+    BOOST_TEST(node.isAnswered("GET", 410));
+    // The client sends it again, which is a new submission for the node.
+    BOOST_TEST(node.fleet.waitFor(node.fleet.callersPort(node.frozen), "POST", submissionTarget(Job), smallJob(), [](const HttpResponse &response) {
+        return response.status == 200;
+    }));
+    node.fleet.check();
+}
+
 // Guards against a submission that is refused although its client still waits.
 BOOST_AUTO_TEST_CASE(aSubmissionWhoseClientStillWaitsIsAcceptedByANodeThatWasFrozen)
 {
