Finish a gang with the first member that has ended as done

The job showed "running" for good, with nothing running, and its next step never started.

Cause: the end of one member, which represents all of them, was applied only to members that were lost after it. One that had been lost, or had ended otherwise, before it waited for its next run, and a gang is placed only while all its members wait. The lines of a run show the order: run-lost for one member 5.5 s after the start, run-ended "done" for the other at 7.0 s, then nothing. Ruled out: a lack of capacity (no use and no backlog in the pool's lines) and a dropped end (it was logged and acknowledged).

Change: a gang is finished with the first member that ends as done. Members that wait are finished with it, every later end or loss finishes the others, and the steps after it start at once. Placed members keep their place until their ends are known, and are not stopped. Gangs that a node of a former version stored half-finished are finished at the takeover.

Why it works: after the end of one member no state is left in which a member waits, whatever was heard of the others and whoever owns the jobs.

--- a/libs/jobs/include/jobs/job.h
+++ b/libs/jobs/include/jobs/job.h
@@ -333,16 +333,22 @@
     std::uint32_t placeCopy(const TaskRef &ref, const WorkerId &worker);
     /** A run of the task is to be stopped for lack of progress, which counts towards TaskCopies::restarts. */
     void countRestart(const TaskRef &ref);
+    /**
+     * Finishes what a record of an earlier release may leave open: members of a gang that wait although another one has finished.
+     * Returns whether there were any.
+     */
+    bool finishGangs(std::int64_t wallMs);
     /**
      * Reports how a run ended. @p checkpoint replaces the saved one unless it is empty. A run whose task waits again,
      * for instance because the run was reported lost, may still end with RunEnd::Done as long as no later run was
      * placed. A long-running task waits for its next run after every end. Once a task has had a copy, each of its runs
-     * may finish it; if another one ends, the task goes on with the other run.
+     * may finish it; if another one ends, the task goes on with the other run. RunEnd::Done of one member of a gang finishes the gang,
+     * whatever is heard of the other members before or afterwards.
      */
     EndOutcome endRun(const TaskRef &ref, std::uint32_t run, RunEnd runEnd, const std::string &checkpoint, std::int64_t wallMs);
     /**
      * Reports that the run does not exist any more, but that it is unknown how it ended. The task waits for its next run;
-     * a member of a gang that is not long-running is finished instead if another member has finished the same run.
+     * a member of a gang that is done is finished instead, see isGangDone().
      */
     EndOutcome loseRun(const TaskRef &ref, std::uint32_t run, std::int64_t wallMs);
     /**
@@ -382,6 +388,8 @@
     bool isOpen() const;
     /** Whether all steps that @p step depends on are finished in @p occurrence. */
     bool mayStart(const Occurrence &occurrence, std::uint32_t step) const;
+    /** Whether the task belongs to a gang that is finished. Members of it whose end is not known yet may still be placed. */
+    bool isGangDone(const TaskRef &ref) const;
     /** Null if the occurrence is not opened, or is finished and the job recurs. Valid until the next command. */
     const Occurrence *findOccurrence(std::uint32_t number) const;
     /** Null if there is no such task. Valid until the next command. */
@@ -420,8 +428,15 @@
     /** The crashes under an unfinished task of an open job, counted from now on if there were none; null if there is no such task. */
     TaskCrashes *crashesOf(const TaskRef &ref);
     EndOutcome judgeCrashes(const TaskCrashes &crashes, bool isCertainCause, std::int64_t wallMs);
-    bool isGangDone(const TaskRef &ref, std::uint32_t run) const;
+    bool isStepFinished(const Occurrence &occurrence, std::uint32_t step) const;
+    bool isFinished(const Occurrence &occurrence) const;
+    /** Finishes the task, and with a member of a gang the gang. */
     void finish(const TaskRef &ref, Task &task, std::int64_t wallMs);
+    void finishTask(const TaskRef &ref, Task &task);
+    /** Finishes the members of a finished gang that have no run; returns whether there were any. */
+    bool finishWaitingMembers(const TaskRef &ref);
+    /** Drops the occurrence if it is finished and the job recurs, and completes the job if it was the last one. */
+    void closeFinished(std::uint32_t number, std::int64_t wallMs);
 
     JobRecord m_record;
 };
--- a/libs/jobs/src/job.cpp
+++ b/libs/jobs/src/job.cpp
@@ -38,20 +38,6 @@
     }
 }
 
-bool isFinished(const std::vector<Task> &tasks)
-{
-    return std::all_of(tasks.begin(), tasks.end(), [](const Task &task) {
-        return task.phase == TaskPhase::Finished;
-    });
-}
-
-bool isFinished(const Occurrence &occurrence)
-{
-    return std::all_of(occurrence.steps.begin(), occurrence.steps.end(), [](const std::vector<Task> &tasks) {
-        return isFinished(tasks);
-    });
-}
-
 }
 
 std::string_view toName(JobState state)
@@ -145,6 +131,10 @@
     if (step(ref).longRunning) {
         return restart(*found, checkpoint);
     }
+    if (isGangDone(ref)) {
+        finish(ref, *found, wallMs);
+        return EndOutcome::TaskFinished;
+    }
     switch (runEnd) {
     case RunEnd::Done:
         finish(ref, *found, wallMs);
@@ -171,7 +161,7 @@
         return EndOutcome::Ignored;
     }
     found->worker.clear();
-    if (step(ref).gang && !step(ref).longRunning && isGangDone(ref, run)) {
+    if (isGangDone(ref)) {
         finish(ref, *found, wallMs);
         return EndOutcome::TaskFinished;
     }
@@ -343,31 +333,93 @@
     return failures;
 }
 
-// The members of a gang finish together, so a lost member counts as finished once another one has finished.
-bool Job::isGangDone(const TaskRef &ref, std::uint32_t run) const
+bool Job::isGangDone(const TaskRef &ref) const
 {
-    const std::vector<Task> &members = findOccurrence(ref.occurrence)->steps[ref.step];
-    return std::any_of(members.begin(), members.end(), [run](const Task &member) {
-        return member.phase == TaskPhase::Finished && member.run == run;
-    });
+    const Occurrence *occurrence = findOccurrence(ref.occurrence);
+    return occurrence != nullptr && step(ref).gang && isStepFinished(*occurrence, ref.step);
+}
+
+bool Job::isStepFinished(const Occurrence &occurrence, std::uint32_t step) const
+{
+    const std::vector<Task> &tasks = occurrence.steps[step];
+    const auto isTaskFinished = [](const Task &task) {
+        return task.phase == TaskPhase::Finished;
+    };
+    // The members of a gang finish together, so one of them stands for all. A gang is placed anew only while all its members wait, so a
+    // finished member belongs to the latest run.
+    return m_record.spec.steps[step].gang ? std::any_of(tasks.begin(), tasks.end(), isTaskFinished) : std::all_of(tasks.begin(), tasks.end(), isTaskFinished);
+}
+
+bool Job::isFinished(const Occurrence &occurrence) const
+{
+    for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+        if (!isStepFinished(occurrence, step)) {
+            return false;
+        }
+    }
+    return true;
 }
 
 void Job::finish(const TaskRef &ref, Task &task, std::int64_t wallMs)
+{
+    finishTask(ref, task);
+    if (step(ref).gang) {
+        finishWaitingMembers(ref);
+    }
+    closeFinished(ref.occurrence, wallMs);
+}
+
+void Job::finishTask(const TaskRef &ref, Task &task)
 {
     task.phase = TaskPhase::Finished;
     task.checkpoint.clear();
     clearCrashes(ref);
     dropCopies(ref);
-    if (!isFinished(*findOccurrence(ref.occurrence))) {
+}
+
+// Placed members keep their runs until it is known that these are over. Those that wait have none left whose end could finish them.
+bool Job::finishWaitingMembers(const TaskRef &ref)
+{
+    bool isChanged = false;
+    for (TaskRef member{ref.occurrence, ref.step, 0}; Task *found = task(member); ++member.index) {
+        if (found->phase == TaskPhase::Waiting) {
+            finishTask(member, *found);
+            isChanged = true;
+        }
+    }
+    return isChanged;
+}
+
+bool Job::finishGangs(std::int64_t wallMs)
+{
+    bool isChanged = false;
+    for (const Occurrence &occurrence : std::vector<Occurrence>(m_record.occurrences)) {
+        bool hasFinished = false;
+        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            const TaskRef first{occurrence.number, step, 0};
+            hasFinished = (isGangDone(first) && finishWaitingMembers(first)) || hasFinished;
+        }
+        if (hasFinished) {
+            closeFinished(occurrence.number, wallMs);
+        }
+        isChanged = isChanged || hasFinished;
+    }
+    return isChanged;
+}
+
+void Job::closeFinished(std::uint32_t number, std::int64_t wallMs)
+{
+    const Occurrence *ended = findOccurrence(number);
+    if (ended == nullptr || !isFinished(*ended)) {
         return;
     }
     if (m_record.spec.recurrence.count > 0) {
         std::erase_if(m_record.occurrences, [&](const Occurrence &occurrence) {
-            return occurrence.number == ref.occurrence;
+            return occurrence.number == number;
         });
     }
     const bool isLastOccurrence = m_record.nextOccurrence >= std::max<std::uint32_t>(1, m_record.spec.recurrence.count);
-    if (isOpen() && isLastOccurrence && std::all_of(m_record.occurrences.begin(), m_record.occurrences.end(), [](const Occurrence &occurrence) {
+    if (isOpen() && isLastOccurrence && std::all_of(m_record.occurrences.begin(), m_record.occurrences.end(), [this](const Occurrence &occurrence) {
             return isFinished(occurrence);
         })) {
         m_record.state = JobState::Completed;
@@ -448,7 +500,7 @@
 {
     const std::vector<std::uint32_t> &after = m_record.spec.steps[step].after;
     return std::all_of(after.begin(), after.end(), [&](std::uint32_t earlier) {
-        return isFinished(occurrence.steps[earlier]);
+        return isStepFinished(occurrence, earlier);
     });
 }
 
--- a/libs/jobs/tests/jobstest.cpp
+++ b/libs/jobs/tests/jobstest.cpp
@@ -5,7 +5,11 @@
 
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <map>
+#include <numeric>
+#include <optional>
+#include <random>
 #include <set>
 
 using namespace Cornelquay;
@@ -160,6 +164,73 @@
     BOOST_TEST((job.record().state == JobState::Completed));
 }
 
+// Guards against a gang that never goes on, because a member was heard of in an order that leaves it waiting behind one that has finished.
+BOOST_AUTO_TEST_CASE(aGangIsFinishedWhateverTheOrderInWhichItsMembersAreHeardOf)
+{
+    const bool isSatisfied = rc::check("one member's success finishes the gang, in any order and over changes of the owner", [] {
+        constexpr std::uint32_t Attempts = 100;
+        const std::uint32_t members = *rc::gen::inRange(1U, 7U);
+        StepSpec gang = makeStep(members);
+        gang.gang = true;
+        Job job = makeJob({gang, makeStep(1, {0})}, Attempts);
+        // The members of a former run may each have failed, been stopped or lost.
+        const auto otherEnd = rc::gen::element<std::optional<RunEnd>>(
+            std::nullopt, RunEnd::Failed, RunEnd::Stopped, RunEnd::LeaseExpired, RunEnd::GangMemberEnded, RunEnd::GangIncomplete);
+        const auto report = [&](std::uint32_t member, std::uint32_t run, std::optional<RunEnd> end) {
+            if (*rc::gen::arbitrary<bool>()) {
+                job = Job(*decodeJob(encodeJob(job.record())));
+                RC_ASSERT(!job.finishGangs(Now));
+            }
+            return end ? job.endRun({0, 0, member}, run, *end, "", Now) : job.loseRun({0, 0, member}, run, Now);
+        };
+        std::uint32_t run = 0;
+        for (int former = *rc::gen::inRange(0, 3); former >= 0; --former) {
+            run = job.placeGang(0, 0, std::vector<WorkerId>(members, "w"));
+            for (std::uint32_t member = 0; former > 0 && member < members; ++member) {
+                report(member, run, *otherEnd);
+                RC_ASSERT(!job.isGangDone({0, 0, 0}));
+            }
+        }
+        std::vector<std::uint32_t> order(members);
+        std::iota(order.begin(), order.end(), 0U);
+        std::mt19937 random(*rc::gen::arbitrary<std::uint32_t>());
+        std::shuffle(order.begin(), order.end(), random);
+        const std::uint32_t successful = *rc::gen::inRange(0U, members);
+        bool isDone = false;
+        for (const std::uint32_t member : order) {
+            const bool isSuccess = member == successful || *rc::gen::arbitrary<bool>();
+            const EndOutcome outcome = report(member, run, isSuccess ? std::optional(RunEnd::Done) : *otherEnd);
+            isDone = isDone || isSuccess;
+            RC_ASSERT(job.isGangDone({0, 0, 0}) == isDone);
+            RC_ASSERT((outcome == EndOutcome::TaskFinished) == isDone);
+            RC_ASSERT(job.mayStart(*job.findOccurrence(0), 1) == isDone);
+        }
+        RC_ASSERT(job.isOpen());
+        RC_ASSERT(!job.hasPlacedTasks());
+        job.endRun({0, 1, 0}, job.place({0, 1, 0}, "w"), RunEnd::Done, "", Now);
+        RC_ASSERT(job.record().state == JobState::Completed);
+    });
+    BOOST_TEST(isSatisfied);
+}
+
+// Guards against a gang that never goes on because an earlier release stored it with a member that waits behind one that has finished.
+BOOST_AUTO_TEST_CASE(aGangThatAnEarlierReleaseLeftUnfinishedIsFinished)
+{
+    StepSpec gang = makeStep(2);
+    gang.gang = true;
+    Job job = makeJob({gang, makeStep(1, {0})});
+    job.placeGang(0, 0, {"a", "b"});
+    JobRecord record = job.record();
+    record.occurrences[0].steps[0][0].phase = TaskPhase::Finished;
+    record.occurrences[0].steps[0][1].phase = TaskPhase::Waiting;
+    Job restored(record);
+    BOOST_TEST(restored.finishGangs(Now));
+    BOOST_TEST(!restored.finishGangs(Now));
+    BOOST_TEST(restored.mayStart(*restored.findOccurrence(0), 1));
+    BOOST_TEST((restored.findTask({0, 0, 1})->phase == TaskPhase::Finished));
+    BOOST_TEST(restored.isOpen());
+}
+
 BOOST_AUTO_TEST_CASE(occurrencesAreDueAtTheirIntervalAndMayOverlap)
 {
     JobRecord record;
--- a/libs/scheduling/src/scheduler.cpp
+++ b/libs/scheduling/src/scheduler.cpp
@@ -111,6 +111,10 @@
     const JobRecord &restored = entry.job.record();
     entry.stored = true;
     entry.storedState = restored.state;
+    if (entry.job.finishGangs(wallMs)) {
+        m_impl->markDirty(entry);
+        m_impl->emitEvent("gang-finished", {id, {}}, 0, {}, "a member had finished before the takeover");
+    }
     entry.estimate.receivedAt
         = now - std::chrono::milliseconds(std::clamp<std::int64_t>(wallMs - restored.submittedMs, 0, m_impl->times.closedJobRetentionPeriod.count()));
     m_impl->refreshEstimate(entry);
@@ -275,7 +279,8 @@
             for (std::uint32_t index = 0; index < occurrence.steps[step].size(); ++index) {
                 const Task &task = occurrence.steps[step][index];
                 const auto worker = workers.find(task.worker);
-                if (task.phase == TaskPhase::Placed && worker != workers.end()) {
+                const bool isEnding = entry.job.isGangDone({occurrence.number, step, index});
+                if (task.phase == TaskPhase::Placed && !isEnding && worker != workers.end()) {
                     requestStop(worker->second, {id, {occurrence.number, step, index}}, "job-closed");
                 }
             }
--- a/libs/scheduling/src/schedulerresults.cpp
+++ b/libs/scheduling/src/schedulerresults.cpp
@@ -93,7 +93,7 @@
     if (outcome != EndOutcome::Ignored) {
         refreshEstimate(*entry);
         markDirty(*entry);
-        if (entry->job.isOpen() && entry->job.step(task.ref).gang) {
+        if (entry->job.isOpen() && outcome == EndOutcome::TaskWaiting && entry->job.step(task.ref).gang) {
             stopGangMembers(*entry, task, run, wallMs);
         }
     }
@@ -225,6 +225,7 @@
     if (entry == nullptr) {
         return;
     }
+    const bool wasOpen = entry->job.isOpen();
     const EndOutcome outcome = entry->job.endRun(end.task.ref, end.run, end.runEnd, end.checkpoint, wallMs);
     countCopyEnd(use, outcome);
     if (outcome == EndOutcome::Ignored) {
@@ -259,8 +260,10 @@
     if (outcome == EndOutcome::TaskFinished) {
         stopExtraRuns(*entry, end.task.ref, "task finished");
     }
-    if (!entry->job.isOpen()) {
+    if (wasOpen && !entry->job.isOpen()) {
         emitEvent("job-closed", {end.task.job, {}}, 0, {}, std::string(toName(entry->job.record().state)));
+    }
+    if (!entry->job.isOpen()) {
         stopRunsOfClosedJob(*entry);
     }
 }
--- a/libs/scheduling/tests/gangtest.cpp
+++ b/libs/scheduling/tests/gangtest.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <optional>
 
 using namespace Cornelquay;
 using namespace Cornelquay::Testing;
@@ -87,3 +88,89 @@
     fleet.run(500ms);
     BOOST_TEST(startsOf(fleet, 2) == 2U);
 }
+
+namespace {
+
+/** A job whose first step is a gang of @p members on workers of their own, and whose second step follows it. */
+std::vector<StepSpec> gangAndNextStep(std::uint32_t members)
+{
+    StepSpec next;
+    next.count = 1;
+    next.demand = {1000, 100, 0};
+    next.estimateMs = 500;
+    next.after = {0};
+    return {makeGang(members), next};
+}
+
+bool hasStartedNextStep(const ScriptedFleet &fleet)
+{
+    return std::any_of(fleet.starts.begin(), fleet.starts.end(), [](const StartOrder &start) {
+        return start.task.ref.step == 1;
+    });
+}
+
+}
+
+// Guards against a gang that never runs again, because the end of one member is heard of after another one's worker came back empty.
+BOOST_AUTO_TEST_CASE(aGangThatEndedUnseenIsFinishedByTheFirstEndThatIsHeardOf)
+{
+    for (const std::uint32_t members : {2U, 3U, 5U}) {
+        for (const bool isOwnerReplaced : {false, true}) {
+            BOOST_TEST_CONTEXT(members << " members, " << (isOwnerReplaced ? "a new owner" : "one owner"))
+            {
+                const std::vector<WorkerId> workers = {"w1", "w2", "w3", "w4", "w5"};
+                ScriptedFleet former(workers);
+                former.run(100ms);
+                former.submit("job", gangAndNextStep(members));
+                former.run(300ms);
+                BOOST_REQUIRE(former.starts.size() == members);
+                // All workers but the last one crash after the end of their members, which nobody has heard of.
+                std::optional<ScriptedFleet> successor;
+                if (isOwnerReplaced) {
+                    successor.emplace(workers, Resources{4000, 4000, 0}, SchedulerOptions{}, &former);
+                }
+                ScriptedFleet &fleet = successor ? *successor : former;
+                const StartOrder last = former.starts.back();
+                fleet.cutOff(last.worker, 2s);
+                for (const StartOrder &start : former.starts) {
+                    if (start.worker != last.worker) {
+                        fleet.crash(start.worker, 500ms);
+                    }
+                }
+                fleet.end(last.worker, last.task, RunEnd::Done);
+                fleet.run(1500ms);
+                BOOST_TEST(!hasStartedNextStep(fleet));
+                fleet.run(1s);
+                BOOST_TEST(hasStartedNextStep(fleet));
+                BOOST_TEST(startsOf(fleet, 2) == 0U);
+            }
+        }
+    }
+}
+
+// Guards against a job that waits for the worker of a member although another member has shown that its gang is done.
+BOOST_AUTO_TEST_CASE(aGangIsDoneWhileAMemberCannotBeReached)
+{
+    for (const RunEnd otherEnd : {RunEnd::Done, RunEnd::Stopped, RunEnd::LeaseExpired, RunEnd::GangMemberEnded, RunEnd::GangIncomplete, RunEnd::Failed}) {
+        ScriptedFleet fleet({"w1", "w2", "w3"});
+        fleet.run(100ms);
+        fleet.submit("job", gangAndNextStep(2));
+        fleet.run(200ms);
+        BOOST_REQUIRE(fleet.starts.size() == 2U);
+        const StartOrder first = fleet.starts[0];
+        const StartOrder second = fleet.starts[1];
+        fleet.cutOff(second.worker, 2s);
+        fleet.end(first.worker, first.task, RunEnd::Done);
+        fleet.end(second.worker, second.task, otherEnd);
+        fleet.run(500ms);
+        BOOST_REQUIRE(hasStartedNextStep(fleet));
+        const StartOrder next = fleet.starts.back();
+        fleet.end(next.worker, next.task, RunEnd::Done);
+        fleet.run(3s);
+        BOOST_TEST((fleet.scheduler.stateOf("job") == JobState::Completed));
+        BOOST_TEST(fleet.starts.size() == 3U);
+        BOOST_TEST(fleet.stops.empty());
+        BOOST_TEST(fleet.scheduler.counts().runs == 0U);
+        BOOST_TEST(fleet.acknowledged[second.worker] == 1U);
+    }
+}
