Ask registered workers that could not be reached again, also without runs

Callers saw: jobs wait for good while workers are up, registered and idle.

Cause: a worker is asked for its runs if it has some, if its token is new, or if ends have to be acknowledged. After one unanswered request to a worker with none of these, for instance the first order of a new owner to a worker that is cut off for a moment, nothing asked it again, so it stayed unreachable until it registered anew or the owner changed. Ruled out, by the requests with their tokens: a refused token (another worker in the same run, which makes the owner give up), and a partition that went on.

--- a/libs/scheduling/src/workersession.cpp
+++ b/libs/scheduling/src/workersession.cpp
@@ -95,8 +95,10 @@
 
 std::optional<RenewLeaseOrder> WorkerSession::nextLeaseRenewal(BootTime now, std::chrono::milliseconds maxWait)
 {
-    const bool needed
-        = !m_runs.empty() || m_unknownRunCount > 0 || !m_confirmed || m_sentAcknowledgedEnd < m_acknowledgedEnd || hasUnacknowledgedEnds() || m_endsHeld;
+    // A worker that could not be reached gets no work until it answers, even if it has no run to ask about.
+    const bool isMissing = !m_reachable && m_registered;
+    const bool needed = !m_runs.empty() || m_unknownRunCount > 0 || !m_confirmed || m_sentAcknowledgedEnd < m_acknowledgedEnd || hasUnacknowledgedEnds()
+        || m_endsHeld || isMissing;
     if (!needed || now < m_nextRenewalAt || m_probeInFlight) {
         return std::nullopt;
     }
--- a/libs/scheduling/tests/schedulertest.cpp
+++ b/libs/scheduling/tests/schedulertest.cpp
@@ -330,3 +330,21 @@
     faults.maxListedEnds = 2;
     simulateSeeds(faults, 0.7);
 }
+
+// Guards against a worker that gets no work for the rest of an ownership, because it could not be reached while it had no run.
+BOOST_AUTO_TEST_CASE(aWorkerWithoutRunsThatCouldNotBeReachedIsAskedAgain)
+{
+    ScriptedFleet fleet({"w1"});
+    fleet.run(100ms);
+    // The first order to the worker finds it cut off.
+    fleet.cutOff("w1", 300ms);
+    StepSpec step;
+    step.count = 1;
+    step.demand = {1000, 100, 0};
+    step.estimateMs = 500;
+    fleet.submit("job", {step});
+    fleet.run(200ms);
+    BOOST_REQUIRE_EQUAL(fleet.starts.size(), 1U);
+    fleet.run(1s);
+    BOOST_TEST(fleet.running["w1"].size() == 1U);
+}
