Test gangs in the simulated fleet, with ends that nobody sees

The simulated fleet had no gangs. They now start to work when all members are present, end together, and break when a member ends otherwise. A new fault cuts off all workers of a gang until after its end, for a time of its own each, and crashes some of them meanwhile, so that the members are heard of in any order. After the period of faults all jobs must have ended. A worker that refuses the owner's token as outdated makes the owner give up, as in the node.

--- a/libs/scheduling/tests/fleetsimulation.cpp
+++ b/libs/scheduling/tests/fleetsimulation.cpp
@@ -139,6 +139,9 @@
     for (const Order &order : m_owner->takeOrders(m_now, OrderScope::All)) {
         execute(order);
     }
+    if (m_faults.period.count() > 0 && m_owner->hasLostOwnership()) {
+        startOwner();
+    }
     for (const SchedulerEvent &event : m_owner->takeEvents()) {
         addHistory({event.job, event.task},
                    "owner " + std::to_string(m_epoch) + " " + std::string(event.name) + " run " + std::to_string(event.run) + " " + event.worker + " "
@@ -302,8 +305,16 @@
     });
 }
 
+bool FleetSimulation::areFaultsOver() const
+{
+    return m_faults.period.count() > 0 && m_now >= m_faultsEndAt;
+}
+
 void FleetSimulation::scheduleFaults()
 {
+    if (areFaultsOver()) {
+        return;
+    }
     if (m_faults.crashInterval.count() > 0) {
         after(around(m_faults.crashInterval), [this] {
             auto worker = std::next(m_workers.begin(), static_cast<long>(m_random() % m_workers.size()));
@@ -319,18 +330,11 @@
     if (m_faults.partitionInterval.count() > 0) {
         after(around(m_faults.partitionInterval), [this] {
             auto worker = std::next(m_workers.begin(), static_cast<long>(m_random() % m_workers.size()));
-            worker->second.partitionedAt = worker->second.partitioned ? worker->second.partitionedAt : m_now;
-            worker->second.partitioned = true;
             if (chance(0.3)) {
                 // Crashes during the partition and restarts.
                 crash(worker->second);
             }
-            after(between(1000, 15000), [this, &partitioned = worker->second, since = m_now] {
-                partitioned.partitioned = false;
-                partitioned.connectedAt = m_now;
-                // The worker could not report a change of its capacity before.
-                partitioned.capacityChangedAt = partitioned.capacityChangedAt >= since ? m_now : partitioned.capacityChangedAt;
-            });
+            cutOff(worker->second, between(1000, 15000));
         });
     }
     if (m_faults.ownerChangeInterval.count() > 0) {
@@ -375,6 +379,9 @@
     second.after = {0};
     // Allowed in all simulations, so that those without copies show that the permission alone starts none.
     first.speculative = number % 3 != 0;
+    first.gang = m_faults.gangFraction > 0 && chance(m_faults.gangFraction);
+    // On workers of their own, so that their ends are heard of apart.
+    first.maxTasksPerWorker = first.gang ? 1 : 0;
     record.spec.steps = {first, second};
     m_specs[record.id] = record.spec;
     if (m_faults.crashingTaskFraction > 0 && chance(m_faults.crashingTaskFraction)) {
@@ -391,6 +398,7 @@
 
 void FleetSimulation::simulate(std::chrono::milliseconds submitPeriod, std::chrono::milliseconds until, int jobs)
 {
+    m_faultsEndAt = m_now + m_faults.period;
     startOwner();
     for (int number = 0; number < jobs; ++number) {
         after(between(0, static_cast<int>(submitPeriod.count())), [this, number] {
@@ -439,6 +447,24 @@
     }));
 }
 
+std::vector<std::string> FleetSimulation::openJobs() const
+{
+    std::vector<std::string> open;
+    for (const auto &[id, bytes] : m_store) {
+        const Job job(*decodeJob(bytes));
+        if (!job.isOpen()) {
+            continue;
+        }
+        std::string text = id + " is " + std::string(toName(job.record().state));
+        for (const auto &[task, history] : m_history) {
+            const Task *found = task.job == id ? job.findTask(task.ref) : nullptr;
+            text += found == nullptr ? "" : "\n  " + std::to_string(task.ref.step) + "/" + std::to_string(task.ref.index) + history;
+        }
+        open.push_back(std::move(text));
+    }
+    return open;
+}
+
 std::size_t FleetSimulation::crashingJobs() const
 {
     return m_crashingJobs.size();
--- a/libs/scheduling/tests/fleetsimulation.h
+++ b/libs/scheduling/tests/fleetsimulation.h
@@ -45,6 +45,12 @@
     std::chrono::milliseconds storeOutageInterval{0};
     /** The ends in a listing at most; 0 for no limit. */
     std::size_t maxListedEnds = 0;
+    /** Jobs whose first step is a gang. Not a fault by itself. */
+    double gangFraction = 0;
+    /** Gangs that end while all their workers are cut off, of which some then crash before they are reached again, in any order. */
+    double cutOffGangFraction = 0;
+    /** Faults other than those of single orders and tasks occur in this first period only; 0 for no end. */
+    std::chrono::milliseconds period{0};
 };
 
 /** Seeds of simulations, both ends included. */
@@ -72,6 +78,8 @@
     const std::vector<std::string> &violations() const;
     std::size_t completedJobs() const;
     std::size_t failedJobs() const;
+    /** The stored jobs that are neither completed, failed nor cancelled, with the history of a task that is not finished. */
+    std::vector<std::string> openJobs() const;
     /** Number of jobs with a task that crashes workers. */
     std::size_t crashingJobs() const;
     /** Number of runs that ended with their worker, without those of tasks that crash workers. */
@@ -109,6 +117,8 @@
      * cannot tell a run that was started from one that was only placed, so one of the five may not have been started.
      */
     static constexpr std::uint32_t MaxLossesOfSoundTask = 4;
+    /** How long a member of a gang waits for the others. */
+    static constexpr std::chrono::milliseconds GangWait{3000};
 
     struct SimulatedRun {
         std::uint32_t run = 0;
@@ -116,6 +126,8 @@
         BootTime endsAt{};
         bool fails = false;
         Resources demand;
+        /** Only for a member of a gang whose other members are not all present: when it stops waiting for them. */
+        std::optional<BootTime> waitsUntil;
     };
     struct SimulatedWorker {
         WorkerId id;
@@ -180,6 +192,14 @@
     RenewLeaseResult renewLease(SimulatedWorker &worker, const RenewLeaseOrder &order);
     void endRun(SimulatedWorker &worker, const TaskName &task, RunEnd how);
     void updateRuns(SimulatedWorker &worker);
+    bool isGang(const TaskName &task) const;
+    /** The members of the task's gang that run as @p run on workers that are up, each with its worker. */
+    std::vector<std::pair<SimulatedWorker *, TaskName>> gangMembers(const TaskName &task, std::uint32_t run);
+    /** The members of the gang begin to work if all of them are present. */
+    void beginGang(const TaskName &task, std::uint32_t run);
+    /** A member has ended as @p how, so the others end at the same time. */
+    void endGang(const TaskName &task, std::uint32_t run, RunEnd how);
+    void cutOff(SimulatedWorker &worker, std::chrono::milliseconds duration);
     void crash(SimulatedWorker &worker);
     void restart(SimulatedWorker &worker);
     void changeCapacity(SimulatedWorker &worker);
@@ -195,6 +215,7 @@
     int percentOf(const SimulatedRun &run) const;
     /** A job may fail only after two crashes under the task that is given up, and a sound one only after more losses of it. */
     void checkFailedJob(const JobRecord &record);
+    bool areFaultsOver() const;
     void scheduleFaults();
     void registerWorkers();
     void submitJob(int number);
@@ -210,6 +231,7 @@
     const SchedulerOptions m_options;
     const Resources m_accountCap;
     BootTime m_now{std::chrono::milliseconds(100000)};
+    BootTime m_faultsEndAt{};
     std::uint64_t m_eventNumber = 0;
     std::vector<Event> m_events;
     std::map<WorkerId, SimulatedWorker> m_workers;
--- a/libs/scheduling/tests/fleetsimulationworkers.cpp
+++ b/libs/scheduling/tests/fleetsimulationworkers.cpp
@@ -1,6 +1,7 @@
 #include "fleetsimulation.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Cornelquay::Testing {
 
@@ -65,8 +66,12 @@
     const std::chrono::milliseconds runTime = around(std::chrono::milliseconds(step.estimateMs));
     const bool fails = chance(m_faults.failingTaskFraction);
     const bool slow = m_faults.slowRunFraction > 0 && chance(m_faults.slowRunFraction);
-    worker.running[order.task] = {order.run, m_now, m_now + runTime * (slow ? SlowRunFactor : 1), fails, step.demand};
+    worker.running[order.task] = {order.run, m_now, m_now + runTime * (slow ? SlowRunFactor : 1), fails, step.demand, std::nullopt};
     ++m_starts;
+    if (step.gang) {
+        worker.running[order.task].waitsUntil = m_now + GangWait;
+        beginGang(order.task, order.run);
+    }
     if (m_crashingTasks.count(order.task) != 0) {
         after(10ms, [this, &worker, startTime = worker.startTimeMs, task = order.task] {
             if (worker.startTimeMs == startTime && worker.running.count(task) != 0) {
@@ -173,6 +178,10 @@
         check(worker.listedEnds.count(end.number) != 0, "an end was acknowledged before any listing contained it", end.task);
         if (end.runEnd == RunEnd::Done && worker.lapsedEnds.count(end.number) == 0) {
             m_acknowledgedDone.emplace(end.task, m_now);
+            // The end of one member of a gang represents all.
+            for (std::uint32_t index = 0; isGang(end.task) && index < m_specs.at(end.task.job).steps[end.task.ref.step].count; ++index) {
+                m_acknowledgedDone.emplace(TaskName{end.task.job, {end.task.ref.occurrence, end.task.ref.step, index}}, m_now);
+            }
         }
     }
     std::erase_if(worker.ended, [&](const ListedEnd &end) {
@@ -220,6 +229,77 @@
     if (how == RunEnd::Done) {
         m_done.insert(task);
     }
+    if (isGang(task)) {
+        endGang(task, run.run, how);
+    }
+}
+
+bool FleetSimulation::isGang(const TaskName &task) const
+{
+    return m_specs.at(task.job).steps[task.ref.step].gang;
+}
+
+std::vector<std::pair<FleetSimulation::SimulatedWorker *, TaskName>> FleetSimulation::gangMembers(const TaskName &task, std::uint32_t run)
+{
+    std::vector<std::pair<SimulatedWorker *, TaskName>> members;
+    for (auto &[id, worker] : m_workers) {
+        for (const auto &[other, running] : worker.running) {
+            const bool isMember = other.job == task.job && other.ref.occurrence == task.ref.occurrence && other.ref.step == task.ref.step;
+            if (isMember && running.run == run) {
+                members.emplace_back(&worker, other);
+            }
+        }
+    }
+    return members;
+}
+
+void FleetSimulation::beginGang(const TaskName &task, std::uint32_t run)
+{
+    const auto members = gangMembers(task, run);
+    if (members.size() < m_specs.at(task.job).steps[task.ref.step].count) {
+        return;
+    }
+    const SimulatedRun latest = members.front().first->running.at(members.front().second);
+    const BootTime endsAt = m_now + (latest.endsAt - latest.startedAt);
+    for (const auto &[worker, member] : members) {
+        SimulatedRun &running = worker->running.at(member);
+        running.waitsUntil.reset();
+        running.endsAt = endsAt;
+        running.fails = latest.fails;
+    }
+    if (areFaultsOver() || m_faults.cutOffGangFraction == 0 || !chance(m_faults.cutOffGangFraction)) {
+        return;
+    }
+    for (const auto &[worker, member] : members) {
+        const std::chrono::milliseconds untilEnd = endsAt - m_now;
+        cutOff(*worker, untilEnd + between(100, 4000));
+        if (chance(0.5)) {
+            after(untilEnd + between(10, 200), [this, worker = worker] {
+                crash(*worker);
+            });
+        }
+    }
+}
+
+void FleetSimulation::endGang(const TaskName &task, std::uint32_t run, RunEnd how)
+{
+    for (const auto &[worker, member] : gangMembers(task, run)) {
+        if (worker->running.count(member) != 0) {
+            endRun(*worker, member, how == RunEnd::Done ? RunEnd::Done : RunEnd::GangMemberEnded);
+        }
+    }
+}
+
+void FleetSimulation::cutOff(SimulatedWorker &worker, std::chrono::milliseconds duration)
+{
+    worker.partitionedAt = worker.partitioned ? worker.partitionedAt : m_now;
+    worker.partitioned = true;
+    after(duration, [this, &worker, since = m_now] {
+        worker.partitioned = false;
+        worker.connectedAt = m_now;
+        // The worker could not report a change of its capacity before.
+        worker.capacityChangedAt = worker.capacityChangedAt >= since ? m_now : worker.capacityChangedAt;
+    });
 }
 
 void FleetSimulation::updateRuns(SimulatedWorker &worker)
@@ -230,14 +310,19 @@
     }
     const bool lapsed = clockOf(worker) > worker.leaseUntilMs;
     for (const auto &[task, run] : worker.running) {
-        if (m_now >= run.endsAt) {
+        if (!run.waitsUntil && m_now >= run.endsAt) {
             ends.emplace_back(task, run.fails ? RunEnd::Failed : RunEnd::Done);
         } else if (lapsed) {
             ends.emplace_back(task, RunEnd::LeaseExpired);
+        } else if (run.waitsUntil && m_now >= *run.waitsUntil) {
+            ends.emplace_back(task, RunEnd::GangIncomplete);
         }
     }
     for (const auto &[task, how] : ends) {
-        endRun(worker, task, how);
+        // The end of a member of a gang may have ended others.
+        if (worker.running.count(task) != 0) {
+            endRun(worker, task, how);
+        }
     }
     for (const ListedEnd &end : worker.ended) {
         if (lapsed) {
@@ -262,8 +347,13 @@
     for (const ListedEnd &end : worker.ended) {
         ++m_losses[end.task];
     }
-    worker.running.clear();
+    const std::map<TaskName, SimulatedRun> ended = std::exchange(worker.running, {});
     worker.down = true;
+    for (const auto &[task, run] : ended) {
+        if (isGang(task)) {
+            endGang(task, run.run, RunEnd::GangMemberEnded);
+        }
+    }
     after(between(1200, 6000), [this, &worker] {
         restart(worker);
     });
--- a/libs/scheduling/tests/gangtest.cpp
+++ b/libs/scheduling/tests/gangtest.cpp
@@ -1,3 +1,4 @@
+#include "fleetsimulation.h"
 #include "scriptedfleet.h"
 
 #include <boost/test/unit_test.hpp>
@@ -174,3 +175,33 @@
         BOOST_TEST(fleet.acknowledged[second.worker] == 1U);
     }
 }
+
+// Guards against gangs that never go on, or that run again after an end that was acknowledged, in whatever order their members are heard of.
+BOOST_AUTO_TEST_CASE(gangsEndUnderCrashesPartitionsAndChangesOfTheOwner)
+{
+    FaultTable faults;
+    faults.gangFraction = 0.7;
+    faults.cutOffGangFraction = 0.2;
+    faults.crashInterval = 1500ms;
+    faults.partitionInterval = 1000ms;
+    faults.ownerChangeInterval = 3s;
+    faults.lostAnswerFraction = 0.03;
+    faults.period = 40s;
+    std::size_t completed = 0;
+    const SeedRange seeds = simulationSeeds();
+    for (std::uint32_t seed = seeds.first; seed <= seeds.last; ++seed) {
+        FleetSimulation fleet(seed, faults, 5);
+        fleet.simulate(38s, 150s, 40);
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            for (const std::string &violation : fleet.violations()) {
+                BOOST_ERROR(violation);
+            }
+            for (const std::string &job : fleet.openJobs()) {
+                BOOST_ERROR(job);
+            }
+        }
+        completed += fleet.completedJobs();
+    }
+    BOOST_TEST(completed > 0U);
+}
