Simplify the refusal of cancels that cannot be kept

Found when the changes were read again: two tests of the same condition, and a header that was included only indirectly. No change of behaviour; the tests of the kept cancels pass.

--- a/libs/httpio/src/receivetime.cpp
+++ b/libs/httpio/src/receivetime.cpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 
 #include <chrono>
+#include <cstddef>
 
 namespace Cornelquay::Details {
 
--- a/libs/jobnode/src/jobownercalls.cpp
+++ b/libs/jobnode/src/jobownercalls.cpp
@@ -170,11 +170,9 @@
         respond(JobAnswer::notRun("the store does not answer", StoreUnavailableRetryAfterMs));
         return;
     }
-    if (known == nullptr) {
-        if (const std::optional<JobAnswer> refusal = refusalForMemory(record, wallMs)) {
-            respond(*refusal);
-            return;
-        }
+    if (const std::optional<JobAnswer> refusal = known == nullptr ? refusalForMemory(record, wallMs) : std::nullopt) {
+        respond(*refusal);
+        return;
     }
     const std::uint64_t batch = scheduler.cancelEarly(std::move(record), wallMs);
     if (scheduler.isStored(batch)) {
